Lay out the package, its message schemas and its checks

Cause: the repository was empty; the parts are to be built side by side, so their contract has to stand first. Change: message schemas with generated code, settings checked by pydantic with a published JSON Schema, the model of the agreed state, errors, channels, counters, logs, and one command for formatter, linter, types, generated code and tests. Ruled out: a flow cache in balancers (only per-flow control traffic could fill it) and claims kept at the controllers (a disk write for each request); both are argued in docs/DESIGN.md.

--- /dev/null
+++ b/src/lentilfork/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Limits: slots, queue, deadlines, retry budget and hedging."""
--- /dev/null
+++ b/src/lentilfork/agreement/__init__.py
@@ -0,0 +1,1 @@
+"""The majority log of the controllers: elections, replication, disk, snapshots."""
--- /dev/null
+++ b/src/lentilfork/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems around lentilfork, loads and experiments."""
--- /dev/null
+++ b/src/lentilfork/bench/addresses.py
@@ -0,0 +1,64 @@
+"""Loopback addresses for processes on one machine.
+
+Each run takes a block of 254 addresses of its own, so runs side by side never
+share a port. The block is held by a bound socket and ends with the process.
+"""
+
+import itertools
+import random
+import socket
+from collections.abc import Iterator
+from typing import Final
+
+__all__ = ["AddressBlock"]
+
+LOCK_HOST: Final = 254
+LOCK_PORT: Final = 20_099
+FIRST_SECOND_OCTET: Final = 20
+LAST_SECOND_OCTET: Final = 250
+
+
+class AddressBlock:
+    """A /24 of the loopback range that no other run uses."""
+
+    # First three octets, such as "127.20.7".
+    prefix: str
+    # Held open as long as the block is in use.
+    lock: socket.socket
+    hosts: Iterator[int]
+
+    def __init__(self) -> None:
+        self.prefix, self.lock = lock_block()
+        self.hosts = iter(range(1, LOCK_HOST))
+
+    def take_host(self) -> str:
+        """Return the next unused IP address of the block."""
+        return f"{self.prefix}.{next(self.hosts)}"
+
+    def take_address(self, port: int) -> str:
+        """Return "ip:port" on an unused IP address."""
+        return f"{self.take_host()}:{port}"
+
+    def close(self) -> None:
+        """Give the block back."""
+        self.lock.close()
+
+
+def lock_block() -> tuple[str, socket.socket]:
+    """Return the prefix of a free block and the socket that holds it."""
+    octets = [
+        f"127.{second}.{third}"
+        for second, third in itertools.product(
+            range(FIRST_SECOND_OCTET, LAST_SECOND_OCTET), range(256)
+        )
+    ]
+    random.shuffle(octets)
+    for prefix in octets:
+        lock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            lock.bind((f"{prefix}.{LOCK_HOST}", LOCK_PORT))
+        except OSError:
+            lock.close()
+            continue
+        return prefix, lock
+    raise RuntimeError("no free block of loopback addresses")
--- /dev/null
+++ b/src/lentilfork/borders/__init__.py
@@ -0,0 +1,1 @@
+"""Published protocols towards the outside: fabric, callers, backend servers."""
--- /dev/null
+++ b/src/lentilfork/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution: claims replicated over agents before a request runs."""
--- /dev/null
+++ b/src/lentilfork/errors.py
@@ -0,0 +1,43 @@
+"""Errors, their codes and the texts shown for them.
+
+Every error of the system carries the step that failed and the peer it concerned,
+so that one line tells where to look. Texts stand here and nowhere else. Functions
+that fail in expected ways return `result.Err` with a `Failure`; exceptions are
+for invariants and for libraries that raise.
+"""
+
+from dataclasses import dataclass
+from enum import IntEnum
+from enum import unique
+
+__all__ = ["ExitCode", "Failure"]
+
+
+@unique
+class ExitCode(IntEnum):
+    """Exit codes of the daemon and of the operator command."""
+
+    OK = 0
+    # The operation was refused: a conflict, an unknown name, a full disk.
+    REFUSED = 1
+    # Settings, arguments or a definition file are wrong; nothing was started.
+    USAGE = 2
+    # No controller answered in time; nothing is known to have changed.
+    UNREACHABLE = 3
+    # The outcome is unknown; resend with the same change id.
+    UNKNOWN = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """An expected failure of one step against one peer."""
+
+    # What was being done, as a verb phrase: "append entries".
+    step: str
+    # The peer it concerned: "10.0.0.1:7000", a file name, or "-" for none.
+    peer: str
+    # What went wrong and what was expected instead.
+    message: str
+
+    def __str__(self) -> str:
+        return f"{self.step} ({self.peer}): {self.message}"
--- /dev/null
+++ b/src/lentilfork/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which agent serves a packet: buckets, owners, directory and placement."""
--- /dev/null
+++ b/src/lentilfork/state/__init__.py
@@ -0,0 +1,1 @@
+"""The agreed state: what it holds, how a change leads to the next generation."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of lentilfork; the folders mirror the package."""
--- /dev/null
+++ b/tools/generate.py
@@ -0,0 +1,97 @@
+"""Generate code from the message schemas and the schema of the settings.
+
+Writes the protobuf modules and their type stubs beside the ``.proto`` files and
+the JSON Schema of the settings. With ``--check`` nothing is written: the exit
+code tells whether the committed files are those the generators would write.
+"""
+
+import argparse
+import filecmp
+import json
+import shutil
+import sys
+import tempfile
+from importlib import resources
+from pathlib import Path
+
+from grpc_tools import protoc
+
+ROOT = Path(__file__).resolve().parent.parent
+SOURCE = ROOT / "src"
+SCHEMA = SOURCE / "lentilfork" / "schema"
+# The plugins are installed beside the interpreter of the virtual environment.
+PLUGINS = Path(sys.executable).parent
+GENERATED = ("*_pb2.py", "*_pb2.pyi", "*_pb2_grpc.py", "*_pb2_grpc.pyi")
+
+
+def generate_messages(target: Path) -> None:
+    """Write the modules of every message schema below `target`."""
+    well_known = resources.files("grpc_tools") / "_proto"
+    protos = [str(path.relative_to(SOURCE)) for path in sorted(SCHEMA.glob("*.proto"))]
+    arguments = [
+        "protoc",
+        f"--proto_path={SOURCE}",
+        f"--proto_path={well_known}",
+        f"--python_out={target}",
+        f"--grpc_python_out={target}",
+        f"--plugin=protoc-gen-mypy={PLUGINS / 'protoc-gen-mypy'}",
+        f"--plugin=protoc-gen-mypy_grpc={PLUGINS / 'protoc-gen-mypy_grpc'}",
+        f"--mypy_out=quiet:{target}",
+        f"--mypy_grpc_out=quiet:{target}",
+        *protos,
+    ]
+    if protoc.main(arguments) != 0:
+        raise SystemExit("generate: protoc failed")
+
+
+def generate_settings_schema(target: Path) -> None:
+    """Write the JSON Schema of the settings file below `target`."""
+    from lentilfork.settings import SETTINGS_ADAPTER
+
+    schema = SETTINGS_ADAPTER.json_schema()
+    text = json.dumps(schema, indent=2, sort_keys=True) + "\n"
+    folder = target / "lentilfork" / "schema"
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / "settings.schema.json").write_text(text, encoding="utf-8")
+
+
+def list_generated(folder: Path) -> list[Path]:
+    """Return the generated files of a schema folder, sorted by name."""
+    patterns = (*GENERATED, "settings.schema.json")
+    return sorted(path for pattern in patterns for path in folder.glob(pattern))
+
+
+def find_stale(fresh: Path) -> list[str]:
+    """Return the names of committed files that differ from the fresh ones."""
+    fresh_names = {path.name for path in list_generated(fresh)}
+    kept_names = {path.name for path in list_generated(SCHEMA)}
+    changed = {
+        name
+        for name in fresh_names & kept_names
+        if not filecmp.cmp(fresh / name, SCHEMA / name, shallow=False)
+    }
+    return sorted(changed | (fresh_names ^ kept_names))
+
+
+def main() -> int:
+    """Generate or checks all files; returns the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--check", action="store_true")
+    arguments = parser.parse_args()
+    with tempfile.TemporaryDirectory() as folder:
+        target = Path(folder)
+        generate_messages(target)
+        generate_settings_schema(target)
+        fresh = target / "lentilfork" / "schema"
+        if arguments.check:
+            stale = find_stale(fresh)
+            if stale:
+                print("generated files are out of date:", ", ".join(stale))
+            return 1 if stale else 0
+        for path in list_generated(fresh):
+            shutil.copyfile(path, SCHEMA / path.name)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
