Run a role as a daemon

A process reads one settings file, checks what it names on this host and runs the role it selects until SIGTERM or SIGINT. Role modules are imported by the role that runs only.

--- /dev/null
+++ b/src/lentilfork/daemon.py
@@ -0,0 +1,171 @@
+"""The daemon `lentilforkd`: reads its settings and runs one role until a signal.
+
+Nothing is started before the settings file and what it names on this host have
+been checked. SIGTERM and SIGINT begin a graceful stop; a second signal ends the
+wait for work in flight. Role modules, metrics and their libraries are imported
+only by the role that uses them, since a balancer host has little memory.
+"""
+
+import argparse
+import asyncio
+import signal
+import sys
+from collections.abc import Sequence
+from functools import singledispatch
+from pathlib import Path
+from typing import Final
+
+from lentilfork import VERSION
+from lentilfork.errors import ExitCode
+from lentilfork.errors import Failure
+from lentilfork.logs import Logger
+from lentilfork.logs import configure_logs
+from lentilfork.preflight import check_host
+from lentilfork.roles import Role
+from lentilfork.settings import AgentSettings
+from lentilfork.settings import BalancerSettings
+from lentilfork.settings import CommonSettings
+from lentilfork.settings import ControllerSettings
+from lentilfork.settings import load_settings
+
+__all__ = ["main", "make_role", "run_role"]
+
+LOG: Final = Logger("daemon")
+# Longest wait for a role to close its sockets and files.
+STOP_TIMEOUT_S: Final = 10.0
+
+
+@singledispatch
+def make_role(settings: CommonSettings) -> Role:
+    """Return the role that the settings select, not started."""
+    raise TypeError(f"no role takes {type(settings).__name__}")
+
+
+@make_role.register
+def make_balancer(settings: BalancerSettings) -> Role:
+    """Return a balancer."""
+    from lentilfork.balancer import BalancerRole
+
+    return BalancerRole(settings)
+
+
+@make_role.register
+def make_agent(settings: AgentSettings) -> Role:
+    """Return an agent."""
+    from lentilfork.agent import AgentRole
+
+    return AgentRole(settings)
+
+
+@make_role.register
+def make_controller(settings: ControllerSettings) -> Role:
+    """Return a controller."""
+    from lentilfork.controller import ControllerRole
+
+    return ControllerRole(settings)
+
+
+class StopSignals:
+    """Counts the signals that ask this process to stop."""
+
+    # Set by the first signal: finish what is in flight, then stop.
+    graceful: asyncio.Event
+    # Set by the second signal: stop without waiting.
+    hurried: asyncio.Event
+
+    def __init__(self) -> None:
+        self.graceful = asyncio.Event()
+        self.hurried = asyncio.Event()
+
+    def install(self) -> None:
+        """Handle SIGTERM and SIGINT from now on, in the running loop."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.receive)
+
+    def receive(self) -> None:
+        """Take note of one signal."""
+        if self.graceful.is_set():
+            self.hurried.set()
+        self.graceful.set()
+
+    async def drain(self, role: Role) -> None:
+        """Drain a role; returns early on the second signal."""
+        draining = asyncio.create_task(role.drain(), name="drain")
+        hurried = asyncio.create_task(self.hurried.wait(), name="second signal")
+        try:
+            await asyncio.wait((draining, hurried), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            hurried.cancel()
+            finished = draining.done()
+            draining.cancel()
+            await asyncio.gather(draining, hurried, return_exceptions=True)
+        if not finished:
+            LOG.warning("drain cut short by a second signal")
+        elif error := draining.exception():
+            raise error
+
+
+async def run_role(settings: CommonSettings) -> ExitCode:
+    """Run the role of these settings until a signal; returns the exit code."""
+    signals = StopSignals()
+    signals.install()
+    role = make_role(settings)
+    started = await role.start()
+    if started.is_err():
+        report(started.unwrap_err())
+        return ExitCode.USAGE
+    LOG.info("started", address=settings.control_address)
+    try:
+        await signals.graceful.wait()
+        LOG.info("draining")
+        await signals.drain(role)
+    finally:
+        await asyncio.wait_for(role.stop(), STOP_TIMEOUT_S)
+    LOG.info("stopped")
+    return ExitCode.OK
+
+
+def report(failure: Failure) -> None:
+    """Write one line about a failure to standard error."""
+    print(f"lentilforkd: {failure}", file=sys.stderr)
+
+
+def parse_arguments(arguments: Sequence[str] | None) -> argparse.Namespace:
+    """Return the parsed command line; exits with code 2 if it is wrong."""
+    parser = argparse.ArgumentParser(
+        prog="lentilforkd",
+        description="Run one balancer, agent or controller of lentilfork.",
+        epilog="Exit codes: 0 stopped as asked, 2 settings refused or start failed.",
+    )
+    parser.add_argument(
+        "--settings", required=True, type=Path, metavar="FILE", help="JSON settings"
+    )
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings and this host, exit"
+    )
+    parser.add_argument("--version", action="version", version=f"lentilforkd {VERSION}")
+    return parser.parse_args(arguments)
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the daemon; returns its exit code."""
+    options = parse_arguments(arguments)
+    loaded = load_settings(options.settings)
+    if loaded.is_err():
+        report(loaded.unwrap_err())
+        return ExitCode.USAGE
+    settings = loaded.unwrap()
+    problem = check_host(settings, options.settings)
+    if problem is not None:
+        report(problem)
+        return ExitCode.USAGE
+    if options.check:
+        print(f"{options.settings}: settings for {settings.role} are correct")
+        return ExitCode.OK
+    configure_logs(settings.log, settings.name)
+    return asyncio.run(run_role(settings))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/lentilfork/preflight.py
@@ -0,0 +1,157 @@
+"""What a settings file names on this host, checked before anything starts.
+
+The addresses are bound for a moment, all at once, so that two keys with the same
+address are found too. Nothing is left behind on disk. A failure names the file,
+the key and what was expected.
+"""
+
+import errno
+import os
+import socket
+import ssl
+import tempfile
+from collections.abc import Iterator
+from contextlib import ExitStack
+from dataclasses import dataclass
+from functools import singledispatch
+from pathlib import Path
+from typing import Final
+
+from lentilfork.errors import Failure
+from lentilfork.settings import AgentSettings
+from lentilfork.settings import BalancerSettings
+from lentilfork.settings import CommonSettings
+from lentilfork.settings import ControllerSettings
+from lentilfork.settings import TlsSettings
+from lentilfork.settings import split_address
+
+__all__ = ["check_host"]
+
+STEP: Final = "check host"
+# What is said for the ways in which binding an address fails.
+BIND_PROBLEMS: Final = {
+    errno.EADDRINUSE: "is in use; expected a free port",
+    errno.EADDRNOTAVAIL: "is not an address of this host; expected one that is",
+    errno.EACCES: "may not be bound by this user; expected a port that may",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class LocalAddress:
+    """An address this process is to bind."""
+
+    # Key of the settings file.
+    key: str
+    address: str
+    # socket.SOCK_STREAM or socket.SOCK_DGRAM.
+    kind: socket.SocketKind
+
+
+@singledispatch
+def list_addresses(settings: CommonSettings) -> list[LocalAddress]:
+    """Return the addresses that a process with these settings binds."""
+    addresses = [
+        LocalAddress("control_address", settings.control_address, socket.SOCK_STREAM)
+    ]
+    if settings.metrics is not None:
+        address = settings.metrics.address
+        addresses.append(LocalAddress("metrics.address", address, socket.SOCK_STREAM))
+    return addresses
+
+
+@list_addresses.register(BalancerSettings)
+@list_addresses.register(AgentSettings)
+def list_addresses_with_packets(
+    settings: BalancerSettings | AgentSettings,
+) -> list[LocalAddress]:
+    """Return the addresses of a role with a packet socket."""
+    packets = LocalAddress("packet_address", settings.packet_address, socket.SOCK_DGRAM)
+    return [*list_addresses.dispatch(CommonSettings)(settings), packets]
+
+
+def bind_address(local: LocalAddress) -> socket.socket:
+    """Return a socket bound to an address; raises OSError."""
+    probe = socket.socket(socket.AF_INET, local.kind)
+    try:
+        if local.kind is socket.SOCK_STREAM:
+            # As the server does, so that closed connections are no obstacle.
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        probe.bind(split_address(local.address))
+        if local.kind is socket.SOCK_STREAM:
+            probe.listen(1)
+    except OSError:
+        probe.close()
+        raise
+    return probe
+
+
+def find_address_problems(settings: CommonSettings) -> Iterator[str]:
+    """Yield what keeps this process from binding its addresses."""
+    with ExitStack() as probes:
+        for local in list_addresses(settings):
+            try:
+                probes.enter_context(bind_address(local))
+            except OSError as error:
+                known = BIND_PROBLEMS.get(error.errno or 0)
+                text = known or f"cannot be bound: {error.strerror}"
+                yield f"key {local.key}: {local.address} {text}"
+
+
+def find_folder_problems(key: str, folder: Path) -> Iterator[str]:
+    """Yield what keeps a data folder from being read, written or created."""
+    if not folder.exists():
+        folder = folder.parent
+        if not folder.is_dir():
+            yield f"key {key}: {folder} is not a folder; expected one"
+            return
+    if not folder.is_dir():
+        yield f"key {key}: {folder} is not a folder; expected one"
+        return
+    try:
+        os.listdir(folder)
+        # Has no name in the folder, or is gone at once where that is not offered.
+        with tempfile.TemporaryFile(dir=folder):
+            pass
+    except OSError as error:
+        reason = error.strerror or str(error)
+        yield (
+            f"key {key}: {folder}: {reason}; expected a folder this user may "
+            "read and write"
+        )
+
+
+def find_tls_problems(tls: TlsSettings) -> Iterator[str]:
+    """Yield what is wrong with the certificate files."""
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    try:
+        context.load_cert_chain(tls.certificate, tls.key)
+    except (OSError, ValueError) as error:
+        yield (
+            f"key tls.certificate, tls.key: {error}; expected a certificate and "
+            "its key in PEM form"
+        )
+    try:
+        context.load_verify_locations(tls.authority)
+    except (OSError, ValueError) as error:
+        yield f"key tls.authority: {error}; expected certificates in PEM form"
+
+
+@singledispatch
+def find_problems(settings: CommonSettings) -> Iterator[str]:
+    """Yield what this host lacks for these settings."""
+    if settings.tls is not None:
+        yield from find_tls_problems(settings.tls)
+    yield from find_address_problems(settings)
+
+
+@find_problems.register
+def find_controller_problems(settings: ControllerSettings) -> Iterator[str]:
+    """Yield what this host lacks for a controller."""
+    yield from find_folder_problems("data_folder", settings.data_folder)
+    yield from find_problems.dispatch(CommonSettings)(settings)
+
+
+def check_host(settings: CommonSettings, path: Path) -> Failure | None:
+    """Return the first thing that keeps these settings from working, if any."""
+    problems = list(find_problems(settings))
+    return Failure(STEP, str(path), problems[0]) if problems else None
