Add stand-ins for the fabric and for backend servers

Tests, demo and measurements need the systems around lentilfork.

The fabric binds the services' addresses, wraps each datagram of a caller as an IPv4 packet with both checksums and hands it to any balancer at random. The backend server speaks gRPC with deadlines, cancellation and grpc.health.v1, has slots with a short queue, sheds with RESOURCE_EXHAUSTED, and can lag, lie, fail fast or freeze.

Both are changed at run time by JSON lines on standard input and end with it.

--- /dev/null
+++ b/src/lentilfork/bench/backend_server.py
@@ -0,0 +1,348 @@
+"""Stand-in for a backend server: slow, uneven, honest about what it ran.
+
+Speaks `BackendServer` of schema/backend.proto and grpc.health.v1 with deadlines
+and cancellation. A request takes a slot, or a place in a short queue, or is
+refused with RESOURCE_EXHAUSTED, which means that it did not run. What took a slot
+stands in the journal, whatever becomes of it.
+
+How it behaves can be changed at run time: see `Behaviour`. Runs in-process
+(`BackendServer`) or alone: `python -m lentilfork.bench.backend_server FILE`.
+"""
+
+import asyncio
+import contextlib
+import random
+import sys
+import time
+from collections import deque
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+from pathlib import Path
+from typing import Final
+from typing import Literal
+
+import grpc.aio
+from grpc_health.v1 import health
+from grpc_health.v1 import health_pb2
+from grpc_health.v1 import health_pb2_grpc
+from pydantic import BaseModel
+from pydantic import ConfigDict
+from pydantic import Field
+
+from lentilfork.bench.content import LONG_CONTENT_BYTES
+from lentilfork.bench.content import ShortAnswer
+from lentilfork.bench.content import make_content
+from lentilfork.bench.content import make_etag
+from lentilfork.bench.control import ControlChange
+from lentilfork.bench.control import serve_control
+from lentilfork.bench.journals import Journal
+from lentilfork.counters import Counters
+from lentilfork.schema import backend_pb2
+from lentilfork.schema import backend_pb2_grpc
+from lentilfork.settings import SocketAddress
+
+__all__ = ["BackendServer", "BackendServerConfig", "Behaviour"]
+
+CODE_CHANGED: Final = 68
+CODE_CONTENT: Final = 69
+PART_BYTES: Final = 4_096
+STOP_GRACE_S: Final = 30.0
+HEALTH_SERVICES: Final = ("", "lentilfork.BackendServer")
+# Loads kept for the endpoint that lags; the oldest go first.
+LOADS_KEPT: Final = 100_000
+
+CallContext = grpc.aio.ServicerContext[
+    backend_pb2.BackendRequest, backend_pb2.BackendReply
+]
+FetchContext = grpc.aio.ServicerContext[
+    backend_pb2.BackendRequest, backend_pb2.BackendPart
+]
+LoadContext = grpc.aio.ServicerContext[backend_pb2.LoadRequest, backend_pb2.LoadReport]
+AnyContext = CallContext | FetchContext
+
+
+class Behaviour(BaseModel):
+    """What a control line may change while the server runs."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    # Health tells NOT_SERVING; requests that still come are run.
+    draining: bool = False
+    # Every request fails with INTERNAL at once, before it takes a slot.
+    fail_fast: bool = False
+    # Load reports tell the state of this long ago.
+    load_lag_s: float = Field(default=0.0, ge=0)
+    # Load reports always tell that nothing runs.
+    load_idle: bool = False
+    # Service times are divided by this.
+    speed: float = Field(default=1.0, gt=0)
+    # Version of all long content.
+    content_version: int = Field(default=1, ge=1)
+    # Requests wait here until it is lifted.
+    frozen: bool = False
+
+
+class BackendServerConfig(BaseModel):
+    """What one backend server process is told."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    name: str
+    address: SocketAddress
+    journal: Path
+    slots: int = Field(default=1, ge=1)
+    # Requests that may wait when all slots are taken.
+    queue: int = Field(default=2, ge=0)
+    # Mean time of a short request in its slot at speed 1.
+    service_time_ms: float = Field(default=10.0, ge=0)
+    # Mean time of a long request in its slot at speed 1.
+    long_service_time_ms: float = Field(default=100.0, ge=0)
+    distribution: Literal["fixed", "exponential", "lognormal"] = "exponential"
+    # Service times are multiplied by the factor for this long after the start.
+    cold_start_s: float = Field(default=0.0, ge=0)
+    cold_start_factor: float = Field(default=4.0, ge=1)
+    long_content_bytes: int = Field(default=LONG_CONTENT_BYTES, ge=1)
+    seed: int = 1
+    behaviour: Behaviour = Behaviour()
+
+
+class Slots:
+    """Slots and the short queue in front of them."""
+
+    # Requests that may run at once, and wait at once.
+    slots: int
+    queue: int
+    running: int
+    waiting: deque[asyncio.Future[None]]
+    # Called after each change of the two numbers.
+    changed: Callable[[], None]
+
+    def __init__(self, slots: int, queue: int, changed: Callable[[], None]) -> None:
+        self.slots = slots
+        self.queue = queue
+        self.running = 0
+        self.waiting = deque()
+        self.changed = changed
+
+    async def take(self) -> bool:
+        """Wait for a slot; returns False at once where the queue is full."""
+        if self.running < self.slots and not self.waiting:
+            self.running += 1
+            self.changed()
+            return True
+        if len(self.waiting) >= self.queue:
+            return False
+        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.waiting.append(turn)
+        self.changed()
+        try:
+            await turn
+        except asyncio.CancelledError:
+            self.leave(turn)
+            raise
+        return True
+
+    def leave(self, turn: asyncio.Future[None]) -> None:
+        """Give up a place in the queue, or the slot just handed over."""
+        if turn.done() and not turn.cancelled():
+            self.free()
+        elif turn in self.waiting:
+            self.waiting.remove(turn)
+            self.changed()
+
+    def free(self) -> None:
+        """Hand the slot to the next in the queue, or leave it free."""
+        while self.waiting:
+            turn = self.waiting.popleft()
+            if not turn.done():
+                turn.set_result(None)
+                self.changed()
+                return
+        self.running -= 1
+        self.changed()
+
+
+class BackendServer(backend_pb2_grpc.BackendServerServicer):
+    """One backend server stand-in."""
+
+    config: BackendServerConfig
+    behaviour: Behaviour
+    counters: Counters
+    slots: Slots
+    journal: Journal
+    # Set unless the server is frozen.
+    thawed: asyncio.Event
+    # Monotonic time, running and queued requests at each change of load.
+    loads: deque[tuple[float, int, int]]
+    started: float
+
+    def __init__(self, config: BackendServerConfig) -> None:
+        self.config = config
+        self.behaviour = config.behaviour
+        self.counters = Counters()
+        self.slots = Slots(config.slots, config.queue, self.note_load)
+        self.journal = Journal(config.journal, config.name)
+        self.random = random.Random(f"{config.seed}/{config.name}")
+        self.thawed = asyncio.Event()
+        self.loads = deque(maxlen=LOADS_KEPT)
+        self.health = health.aio.HealthServicer()  # type: ignore[attr-defined]
+        self.server = grpc.aio.server(options=(("grpc.so_reuseport", 0),))
+        self.health_changes: set[asyncio.Task[None]] = set()
+        self.started = time.monotonic()
+
+    async def start(self) -> None:
+        """Bind and serve; raises RuntimeError where the address is in use."""
+        backend_pb2_grpc.add_BackendServerServicer_to_server(self, self.server)
+        health_pb2_grpc.add_HealthServicer_to_server(self.health, self.server)
+        self.server.add_insecure_port(self.config.address)
+        await self.enforce()
+        await self.server.start()
+        self.started = time.monotonic()
+
+    async def stop(self, grace_s: float = STOP_GRACE_S) -> None:
+        """Let running requests end, then close."""
+        await self.server.stop(grace_s)
+        self.journal.close()
+
+    def apply(self, change: ControlChange) -> None:
+        """Change some fields of the behaviour; raises ValueError."""
+        merged = {**self.behaviour.model_dump(), **change}
+        self.behaviour = Behaviour.model_validate(merged)
+        task = asyncio.create_task(self.enforce())
+        self.health_changes.add(task)
+        task.add_done_callback(self.health_changes.discard)
+
+    async def enforce(self) -> None:
+        """Bring health and the freeze in line with the behaviour."""
+        if self.behaviour.frozen:
+            self.thawed.clear()
+        else:
+            self.thawed.set()
+        status = health_pb2.HealthCheckResponse
+        serving = status.NOT_SERVING if self.behaviour.draining else status.SERVING
+        for name in HEALTH_SERVICES:
+            await self.health.set(name, serving)
+
+    async def Call(  # noqa: N802
+        self, request: backend_pb2.BackendRequest, context: CallContext
+    ) -> backend_pb2.BackendReply:
+        """Run one short request."""
+        async with self.hold_slot(request, context):
+            await self.work(self.config.service_time_ms)
+            return self.answer(request)
+
+    async def Fetch(  # type: ignore[override]  # noqa: N802
+        self, request: backend_pb2.BackendRequest, context: FetchContext
+    ) -> None:
+        """Run one long request; its parts leave as they are made."""
+        async with self.hold_slot(request, context):
+            version = self.behaviour.content_version
+            size = self.config.long_content_bytes
+            content = make_content(request.path, version, size)
+            offsets = range(0, len(content), PART_BYTES)
+            for offset in offsets:
+                await self.work(self.config.long_service_time_ms / len(offsets))
+                part = backend_pb2.BackendPart(
+                    payload=content[offset : offset + PART_BYTES],
+                    etag=make_etag(request.path, version) if offset == 0 else b"",
+                )
+                await context.write(part)
+
+    async def Load(  # noqa: N802
+        self, request: backend_pb2.LoadRequest, context: LoadContext
+    ) -> backend_pb2.LoadReport:
+        """Tell the load as the behaviour has it: late, or untrue."""
+        running, queued = self.get_load(time.monotonic() - self.behaviour.load_lag_s)
+        return backend_pb2.LoadReport(
+            running=running, queued=queued, slots=self.config.slots
+        )
+
+    def get_load(self, moment: float) -> tuple[int, int]:
+        """Return running and queued requests at a monotonic time."""
+        if self.behaviour.load_idle:
+            return 0, 0
+        past = (load for load in reversed(self.loads) if load[0] <= moment)
+        _, running, queued = next(past, (0.0, 0, 0))
+        return running, queued
+
+    def note_load(self) -> None:
+        """Keep the load of this moment for the load endpoint."""
+        load = (time.monotonic(), self.slots.running, len(self.slots.waiting))
+        self.loads.append(load)
+
+    @contextlib.asynccontextmanager
+    async def hold_slot(
+        self, request: backend_pb2.BackendRequest, context: AnyContext
+    ) -> AsyncIterator[None]:
+        """Hold a slot and journals the run; refuses where there is no room."""
+        if self.behaviour.fail_fast:
+            self.counters.add("failed")
+            await context.abort(grpc.StatusCode.INTERNAL, "failing")
+        if not await self.slots.take():
+            self.counters.add("shed")
+            await context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, "not run: full")
+        run = self.journal.begin(
+            request.request_key, request.method, request.path, request.query
+        )
+        outcome = "cancelled"
+        try:
+            yield
+            outcome = "done"
+        finally:
+            self.journal.end(run, outcome)
+            self.counters.add("runs", outcome)
+            self.slots.free()
+
+    async def work(self, mean_ms: float) -> None:
+        """Take the time of a request, or of a part of it."""
+        await asyncio.sleep(self.draw_service_time(mean_ms) / 1000)
+        await self.thawed.wait()
+
+    def draw_service_time(self, mean_ms: float) -> float:
+        """Return a service time in milliseconds."""
+        age_s = time.monotonic() - self.started
+        cold = age_s < self.config.cold_start_s
+        factor = self.config.cold_start_factor if cold else 1.0
+        return mean_ms * factor * self.draw_unit() / self.behaviour.speed
+
+    def draw_unit(self) -> float:
+        """Return a number with mean 1 of the distribution."""
+        if self.config.distribution == "exponential":
+            return self.random.expovariate(1.0)
+        if self.config.distribution == "lognormal":
+            return self.random.lognormvariate(-0.125, 0.5)
+        return 1.0
+
+    def answer(self, request: backend_pb2.BackendRequest) -> backend_pb2.BackendReply:
+        """Return the answer to a short request that has run."""
+        answer = ShortAnswer(
+            method=request.method,
+            path=request.path,
+            query=tuple(request.query),
+            server=self.config.name,
+            version=self.behaviour.content_version,
+        )
+        code = CODE_CONTENT if request.method == "GET" else CODE_CHANGED
+        return backend_pb2.BackendReply(code=code, payload=answer.encode())
+
+
+async def run(config: BackendServerConfig) -> None:
+    """Serve until asked to stop, then let running requests end."""
+    server = BackendServer(config)
+    await server.start()
+    try:
+        await serve_control(server.apply)
+    finally:
+        await server.stop()
+
+
+def main() -> None:
+    """Run the backend server described by the file given as the first argument."""
+    text = Path(sys.argv[1]).read_text(encoding="utf-8")
+    config = BackendServerConfig.model_validate_json(text)
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(run(config))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/lentilfork/bench/control.py
@@ -0,0 +1,69 @@
+"""Control of a stand-in process at run time, by lines on its standard input.
+
+Each line is one JSON object; `apply` gets it and the process answers with a line
+on standard output, so that the launcher knows the change to be in force. The end
+of the input ends the process, so no stand-in outlives whoever started it.
+"""
+
+import asyncio
+import json
+import os
+import signal
+import stat
+import sys
+from collections.abc import Callable
+from typing import Any
+from typing import Final
+
+__all__ = ["ANSWER_APPLIED", "ANSWER_READY", "ControlChange", "serve_control"]
+
+ANSWER_READY: Final = "ready"
+ANSWER_APPLIED: Final = "applied"
+ANSWER_REFUSED: Final = "refused"
+
+ControlChange = dict[str, Any]
+
+
+def print_line(text: str) -> None:
+    """Write one line to standard output at once."""
+    print(text, flush=True)
+
+
+async def serve_control(apply: Callable[[ControlChange], None]) -> None:
+    """Apply control lines until the input ends or a signal asks to stop.
+
+    Returns on SIGTERM, on SIGINT and at the end of the input. Input that is no
+    pipe (a terminal, /dev/null) is left alone.
+    """
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    print_line(ANSWER_READY)
+    reading = asyncio.create_task(read_changes(apply, stopped))
+    await stopped.wait()
+    reading.cancel()
+
+
+async def read_changes(
+    apply: Callable[[ControlChange], None], stopped: asyncio.Event
+) -> None:
+    """Read lines from standard input; sets `stopped` where it ends."""
+    if not stat.S_ISFIFO(os.fstat(sys.stdin.fileno()).st_mode):
+        return
+    reader = asyncio.StreamReader()
+    protocol = asyncio.StreamReaderProtocol(reader)
+    loop = asyncio.get_running_loop()
+    await loop.connect_read_pipe(lambda: protocol, sys.stdin)
+    while line := await reader.readline():
+        print_line(apply_line(apply, line))
+    stopped.set()
+
+
+def apply_line(apply: Callable[[ControlChange], None], line: bytes) -> str:
+    """Apply one control line; returns the answer to it."""
+    try:
+        apply(json.loads(line))
+    except (ValueError, TypeError, KeyError) as error:
+        return f"{ANSWER_REFUSED}: {error}"
+    return ANSWER_APPLIED
--- /dev/null
+++ b/src/lentilfork/bench/fabric.py
@@ -0,0 +1,242 @@
+"""Stand-in for the fabric: hands callers' packets to balancers at random.
+
+The fabric owns the services' UDP addresses. It wraps what a caller sends as the
+IPv4 packet it would have been and passes that, bare, in one UDP datagram to any
+balancer (GUE variant 1). Agents send answers as IPv4 packets to the return
+address; their payload leaves from the service's socket, so a caller sees its
+answer come from where it asked. No state about flows is kept.
+
+Runs in-process (`Fabric`) or alone: `python -m lentilfork.bench.fabric FILE`.
+"""
+
+import asyncio
+import contextlib
+import functools
+import random
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+from typing import Final
+
+import dpkt
+from pydantic import BaseModel
+from pydantic import ConfigDict
+
+from lentilfork.bench.control import ControlChange
+from lentilfork.bench.control import serve_control
+from lentilfork.counters import Counters
+from lentilfork.settings import SocketAddress
+from lentilfork.settings import split_address
+
+__all__ = ["Fabric", "FabricConfig", "parse_packet", "wrap_payload"]
+
+RECEIVE_BUFFER_BYTES: Final = 4 * 1024 * 1024
+LARGEST_DATAGRAM_BYTES: Final = 65_535
+# Datagrams taken from one socket before the others get their turn.
+DATAGRAMS_PER_TURN: Final = 64
+TIME_TO_LIVE_HOPS: Final = 64
+
+Address = tuple[str, int]
+
+
+class FabricConfig(BaseModel):
+    """What one fabric process is told."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    # The addresses callers send to.
+    services: tuple[SocketAddress, ...]
+    # Where agents send answers.
+    return_address: SocketAddress
+    balancers: tuple[SocketAddress, ...]
+    # One way between a caller and the system.
+    caller_delay_ms: float = 0.0
+    # One way from the fabric to a balancer, by its address; added to the above.
+    balancer_delay_ms: dict[str, float] = {}
+    seed: int = 1
+
+
+def wrap_payload(payload: bytes, source: Address, destination: Address) -> bytes:
+    """Return the IPv4 packet with both checksums that carries `payload`."""
+    datagram = dpkt.udp.UDP(sport=source[1], dport=destination[1], data=payload)
+    datagram.ulen = len(datagram)
+    packet = dpkt.ip.IP(
+        src=socket.inet_aton(source[0]),
+        dst=socket.inet_aton(destination[0]),
+        p=dpkt.ip.IP_PROTO_UDP,
+        ttl=TIME_TO_LIVE_HOPS,
+        data=datagram,
+    )
+    packet.len = len(packet)
+    return bytes(packet)
+
+
+def parse_packet(packet: bytes) -> tuple[bytes, Address, Address]:
+    """Return payload, source and destination; raises ValueError if it is no UDP."""
+    try:
+        outer = dpkt.ip.IP(packet)
+    except (dpkt.UnpackError, dpkt.NeedData) as error:
+        raise ValueError(f"not an IPv4 packet: {error}") from None
+    inner = outer.data
+    if not isinstance(inner, dpkt.udp.UDP):
+        raise ValueError("not a UDP packet")
+    return (
+        bytes(inner.data),
+        (socket.inet_ntoa(outer.src), inner.sport),
+        (socket.inet_ntoa(outer.dst), inner.dport),
+    )
+
+
+def open_socket(address: Address) -> socket.socket:
+    """Return a non-blocking UDP socket bound to `address`."""
+    opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    opened.setblocking(False)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    opened.bind(address)
+    return opened
+
+
+class Fabric:
+    """Sprays callers' packets over balancers and returns agents' answers."""
+
+    config: FabricConfig
+    counters: Counters
+    # The balancers packets go to at this moment.
+    balancers: tuple[Address, ...]
+    # Sockets of the services by their address.
+    sockets: dict[Address, socket.socket]
+    # Takes answers from agents; also sends packets to balancers.
+    returns: socket.socket | None
+
+    def __init__(self, config: FabricConfig) -> None:
+        self.config = config
+        self.counters = Counters()
+        self.balancers = tuple(split_address(text) for text in config.balancers)
+        self.sockets = {}
+        self.returns = None
+        self.random = random.Random(config.seed)
+
+    def start(self) -> None:
+        """Bind all sockets and starts to pass packets; raises OSError."""
+        loop = asyncio.get_running_loop()
+        self.returns = open_socket(split_address(self.config.return_address))
+        loop.add_reader(self.returns, self.take_answers)
+        for text in self.config.services:
+            address = split_address(text)
+            opened = open_socket(address)
+            self.sockets[address] = opened
+            take = functools.partial(self.take_requests, opened, address)
+            loop.add_reader(opened, take)
+
+    def close(self) -> None:
+        """Close all sockets."""
+        loop = asyncio.get_running_loop()
+        opened = [*self.sockets.values(), *([self.returns] if self.returns else [])]
+        for one in opened:
+            loop.remove_reader(one)
+            one.close()
+        self.sockets.clear()
+        self.returns = None
+
+    def apply(self, change: ControlChange) -> None:
+        """Take a new list of balancers: `{"balancers": ["ip:port", ...]}`."""
+        self.balancers = tuple(split_address(text) for text in change["balancers"])
+
+    def take_requests(self, source: socket.socket, service: Address) -> None:
+        """Pass what callers have sent to one service."""
+        for _ in range(DATAGRAMS_PER_TURN):
+            try:
+                payload, caller = source.recvfrom(LARGEST_DATAGRAM_BYTES)
+            except (BlockingIOError, ConnectionError):
+                return
+            self.pass_request(wrap_payload(payload, caller, service))
+
+    def pass_request(self, packet: bytes) -> None:
+        """Send one packet to a balancer chosen at random."""
+        if not self.balancers:
+            self.counters.add("requests_dropped", "no_balancer")
+            return
+        balancer = self.random.choice(self.balancers)
+        self.counters.add("requests")
+        self.send_later(self.returns, packet, balancer, self.get_delay(balancer))
+
+    def get_delay(self, balancer: Address) -> float:
+        """Return the one-way time from a caller to a balancer in milliseconds."""
+        extra = self.config.balancer_delay_ms.get(f"{balancer[0]}:{balancer[1]}", 0.0)
+        return self.config.caller_delay_ms + extra
+
+    def take_answers(self) -> None:
+        """Pass what agents have sent to the callers."""
+        assert self.returns is not None
+        for _ in range(DATAGRAMS_PER_TURN):
+            try:
+                packet = self.returns.recv(LARGEST_DATAGRAM_BYTES)
+            except (BlockingIOError, ConnectionError):
+                return
+            self.pass_answer(packet)
+
+    def pass_answer(self, packet: bytes) -> None:
+        """Send the payload of one packet from the service it names."""
+        try:
+            payload, service, caller = parse_packet(packet)
+        except ValueError:
+            self.counters.add("answers_dropped", "malformed")
+            return
+        source = self.sockets.get(service)
+        if source is None:
+            self.counters.add("answers_dropped", "unknown_service")
+            return
+        self.counters.add("answers")
+        self.send_later(source, payload, caller, self.config.caller_delay_ms)
+
+    def send_later(
+        self,
+        source: socket.socket | None,
+        data: bytes,
+        destination: Address,
+        delay_ms: float,
+    ) -> None:
+        """Send one datagram after a delay."""
+        if delay_ms <= 0:
+            self.send(source, data, destination)
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_ms / 1000, self.send, source, data, destination)
+
+    def send(
+        self, source: socket.socket | None, data: bytes, destination: Address
+    ) -> None:
+        """Send one datagram; a full buffer or a closed socket drops it."""
+        if source is None or source.fileno() < 0:
+            return
+        try:
+            source.sendto(data, destination)
+        except OSError:
+            self.counters.add("send_failed")
+
+    def dump(self) -> dict[str, Any]:
+        """Return counters and balancers as JSON values."""
+        return {"counters": self.counters.dump(), "balancers": list(self.balancers)}
+
+
+async def run(config: FabricConfig) -> None:
+    """Serve until asked to stop."""
+    fabric = Fabric(config)
+    fabric.start()
+    try:
+        await serve_control(fabric.apply)
+    finally:
+        fabric.close()
+
+
+def main() -> None:
+    """Run the fabric described by the file given as the first argument."""
+    text = Path(sys.argv[1]).read_text(encoding="utf-8")
+    config = FabricConfig.model_validate_json(text)
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(run(config))
+
+
+if __name__ == "__main__":
+    main()
