--- /dev/null
+++ b/src/lentilfork/state/codec.py
@@ -0,0 +1,220 @@
+"""Conversion between the state's data classes and its protobuf messages.
+
+Every message of `state.proto` that has a data class is written by `encode` and
+read by the `decode_*` function of its name. Both directions are lossless.
+"""
+
+from functools import singledispatch
+
+from google.protobuf.message import Message
+
+from lentilfork.schema import state_pb2
+from lentilfork.state.model import Agent
+from lentilfork.state.model import Balancer
+from lentilfork.state.model import ClaimShard
+from lentilfork.state.model import Controller
+from lentilfork.state.model import Preset
+from lentilfork.state.model import Service
+from lentilfork.state.model import ShardName
+from lentilfork.state.model import Voter
+
+__all__ = [
+    "decode_agent",
+    "decode_balancer",
+    "decode_claim_shard",
+    "decode_controller",
+    "decode_preset",
+    "decode_service",
+    "decode_shard_name",
+    "decode_voter",
+    "encode",
+    "encode_agent",
+    "encode_balancer",
+    "encode_claim_shard",
+    "encode_controller",
+    "encode_preset",
+    "encode_service",
+    "encode_shard_name",
+    "encode_voter",
+]
+
+
+def encode_service(service: Service) -> state_pb2.Service:
+    """Return the message of a service."""
+    return state_pb2.Service(
+        id=service.id,
+        name=service.name,
+        address=service.address,
+        port=service.port,
+        deadline_ms=service.deadline_ms,
+        long_paths=service.long_paths,
+        version=service.version,
+    )
+
+
+def decode_service(message: state_pb2.Service) -> Service:
+    """Return the service of a message."""
+    return Service(
+        message.id,
+        message.name,
+        message.address,
+        message.port,
+        message.deadline_ms,
+        tuple(message.long_paths),
+        message.version,
+    )
+
+
+def encode_preset(preset: Preset) -> state_pb2.Preset:
+    """Return the message of a preset."""
+    return state_pb2.Preset(
+        name=preset.name,
+        queue_per_slot=preset.queue_per_slot,
+        queue_time_ms=preset.queue_time_ms,
+        retry_budget_percent=preset.retry_budget_percent,
+        hedge_after_ms=preset.hedge_after_ms,
+        drain_ms=preset.drain_ms,
+        cold_start_ms=preset.cold_start_ms,
+        version=preset.version,
+    )
+
+
+def decode_preset(message: state_pb2.Preset) -> Preset:
+    """Return the preset of a message."""
+    return Preset(
+        message.name,
+        message.queue_per_slot,
+        message.queue_time_ms,
+        message.retry_budget_percent,
+        message.hedge_after_ms,
+        message.drain_ms,
+        message.cold_start_ms,
+        message.version,
+    )
+
+
+def encode_agent(agent: Agent) -> state_pb2.Agent:
+    """Return the message of an agent."""
+    return state_pb2.Agent(
+        name=agent.name,
+        incarnation=agent.incarnation,
+        service=agent.service,
+        data_centre=agent.data_centre,
+        packet_address=agent.packet_address,
+        control_address=agent.control_address,
+        slots=agent.slots,
+        draining=agent.draining,
+        joined=agent.joined,
+    )
+
+
+def decode_agent(message: state_pb2.Agent) -> Agent:
+    """Return the agent of a message."""
+    return Agent(
+        message.name,
+        message.incarnation,
+        message.service,
+        message.data_centre,
+        message.packet_address,
+        message.control_address,
+        message.slots,
+        message.draining,
+        message.joined,
+    )
+
+
+def encode_balancer(balancer: Balancer) -> state_pb2.Balancer:
+    """Return the message of a balancer."""
+    return state_pb2.Balancer(
+        name=balancer.name,
+        incarnation=balancer.incarnation,
+        data_centre=balancer.data_centre,
+        control_address=balancer.control_address,
+    )
+
+
+def decode_balancer(message: state_pb2.Balancer) -> Balancer:
+    """Return the balancer of a message."""
+    return Balancer(
+        message.name,
+        message.incarnation,
+        message.data_centre,
+        message.control_address,
+    )
+
+
+def encode_voter(voter: Voter) -> state_pb2.Voter:
+    """Return the message of a voter of a claim shard."""
+    return state_pb2.Voter(agent=voter.agent, incarnation=voter.incarnation)
+
+
+def decode_voter(message: state_pb2.Voter) -> Voter:
+    """Return the voter of a message."""
+    return Voter(message.agent, message.incarnation)
+
+
+def encode_shard_name(name: ShardName) -> str:
+    """Return "service/index"."""
+    return f"{name.service}/{name.index}"
+
+
+def decode_shard_name(text: str) -> ShardName:
+    """Return the name in "service/index"; raises ValueError on other text."""
+    service, _, index = text.rpartition("/")
+    return ShardName(service, int(index))
+
+
+def encode_claim_shard(shard: ClaimShard) -> state_pb2.ClaimShard:
+    """Return the message of a claim shard."""
+    return state_pb2.ClaimShard(
+        service=shard.name.service,
+        index=shard.name.index,
+        epoch=shard.epoch,
+        voters=map(encode_voter, shard.voters),
+        previous=map(encode_voter, shard.previous),
+    )
+
+
+def decode_claim_shard(message: state_pb2.ClaimShard) -> ClaimShard:
+    """Return the claim shard of a message."""
+    return ClaimShard(
+        ShardName(message.service, message.index),
+        message.epoch,
+        tuple(map(decode_voter, message.voters)),
+        tuple(map(decode_voter, message.previous)),
+    )
+
+
+def encode_controller(controller: Controller) -> state_pb2.Controller:
+    """Return the message of a controller."""
+    return state_pb2.Controller(
+        name=controller.name,
+        control_address=controller.control_address,
+        voter=controller.voter,
+        disk_id=controller.disk_id,
+    )
+
+
+def decode_controller(message: state_pb2.Controller) -> Controller:
+    """Return the controller of a message."""
+    return Controller(
+        message.name,
+        message.control_address,
+        message.voter,
+        message.disk_id,
+    )
+
+
+@singledispatch
+def encode(item: object) -> Message:
+    """Return the message of any object of the state."""
+    raise TypeError(f"no message for {type(item).__name__}")
+
+
+encode.register(Service, encode_service)
+encode.register(Preset, encode_preset)
+encode.register(Agent, encode_agent)
+encode.register(Balancer, encode_balancer)
+encode.register(Voter, encode_voter)
+encode.register(ClaimShard, encode_claim_shard)
+encode.register(Controller, encode_controller)
--- /dev/null
+++ b/src/lentilfork/state/digests.py
@@ -0,0 +1,61 @@
+"""The digest by which a process checks that it holds the agreed state.
+
+The digest is the sum, modulo 2**64, of one xxh3 hash for each object, so it does
+not depend on the order of objects, and a change costs one hash of the object
+that changed: hashes of unchanged objects come from a bounded cache.
+"""
+
+from collections.abc import Iterator
+from functools import lru_cache
+from itertools import chain
+from typing import Final
+
+import xxhash
+
+from lentilfork.state.codec import encode
+from lentilfork.state.model import Agent
+from lentilfork.state.model import Balancer
+from lentilfork.state.model import ClaimShard
+from lentilfork.state.model import ClusterState
+from lentilfork.state.model import Controller
+from lentilfork.state.model import Preset
+from lentilfork.state.model import Service
+
+__all__ = ["compute_digest"]
+
+DIGEST_MODULUS: Final = 1 << 64
+CACHED_HASHES: Final = 16_384
+
+StateObject = Service | Preset | Agent | Balancer | ClaimShard | Controller
+
+
+@lru_cache(CACHED_HASHES)
+def hash_object(item: StateObject) -> int:
+    """Return the 64-bit hash of one object, its kind included."""
+    content = encode(item).SerializeToString(deterministic=True)
+    return xxhash.xxh3_64_intdigest(type(item).__name__.encode() + b"\0" + content)
+
+
+def hash_head(state: ClusterState) -> int:
+    """Return the hash of what belongs to no object."""
+    head = (state.generation, state.active_preset, state.active_preset_version)
+    return xxhash.xxh3_64_intdigest(repr(head).encode())
+
+
+def list_objects(state: ClusterState) -> Iterator[StateObject]:
+    """Return every object of the state, in no particular order."""
+    return chain(
+        state.services.values(),
+        state.presets.values(),
+        state.agents.values(),
+        state.balancers.values(),
+        state.claim_shards.values(),
+        state.controllers.values(),
+    )
+
+
+def compute_digest(state: ClusterState) -> int:
+    """Return the 64-bit digest of a state, its generation included."""
+    return (hash_head(state) + sum(map(hash_object, list_objects(state)))) % (
+        DIGEST_MODULUS
+    )
--- a/src/lentilfork/state/model.py
+++ b/src/lentilfork/state/model.py
@@ -124,6 +124,8 @@
     name: str
     control_address: str
     voter: bool
+    # Drawn when its data folder was made; a voter counts only with this folder.
+    disk_id: int = 0
 
 
 BUILT_IN_PRESETS: Final = (
