Add the operator command

Every command asks the controllers in turn. Reads take the first answer. A change keeps its id over all attempts; a connection is made before the change is sent, so that 'nothing was sent' and 'outcome unknown' can be told apart by exit code.

--- a/src/lentilfork/cli/__init__.py
+++ b/src/lentilfork/cli/__init__.py
@@ -1,1 +1,19 @@
-"""The operator command."""
+"""The operator command `lentilfork`.
+
+It talks to any controller through the administration API and keeps no state of
+its own: what it knows of the system is its controllers' addresses.
+"""
+
+from lentilfork.cli.application import main
+from lentilfork.cli.definitions import PRESET_ADAPTER
+from lentilfork.cli.definitions import SERVICE_ADAPTER
+from lentilfork.cli.definitions import PresetDefinition
+from lentilfork.cli.definitions import ServiceDefinition
+
+__all__ = [
+    "PRESET_ADAPTER",
+    "SERVICE_ADAPTER",
+    "PresetDefinition",
+    "ServiceDefinition",
+    "main",
+]
--- /dev/null
+++ b/src/lentilfork/cli/changes.py
@@ -0,0 +1,87 @@
+"""What the commands that change something share: ids, sending and waiting."""
+
+import getpass
+import uuid
+from abc import ABC
+from typing import Any
+from typing import Final
+
+from cleo.helpers import option
+from cleo.io.inputs.option import Option
+from result import Err
+from result import Ok
+from result import Result
+
+from lentilfork.cli.client import ControllerClient
+from lentilfork.cli.command import JSON_OPTION
+from lentilfork.cli.command import ClientCommand
+from lentilfork.cli.command import parse_number
+from lentilfork.cli.output import format_json
+from lentilfork.cli.output import to_values
+from lentilfork.cli.progress import wait_until_in_force
+from lentilfork.errors import Failure
+from lentilfork.schema import state_pb2
+
+__all__ = ["CHANGE_OPTIONS", "ChangeCommand"]
+
+CHANGE_OPTIONS: Final[list[Option]] = [
+    option(
+        "expect",
+        "e",
+        "Refuse unless the object is at this version; 0: it must not exist",
+        flag=False,
+    ),
+    option("change-id", None, "Id of a change that is sent again", flag=False),
+    option("operator", "o", "Name for the history (default: your user)", flag=False),
+    option("wait", "w", "Seconds to wait until it is in force everywhere", flag=False),
+    JSON_OPTION,
+]
+
+
+def get_user() -> str:
+    """Return the name of the user who runs the command."""
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return "unknown"
+
+
+class ChangeCommand(ClientCommand, ABC):
+    """A command that submits one change."""
+
+    def make_change(self, **kind: Any) -> Result[state_pb2.Change, Failure]:
+        """Return a change of this kind with the ids the options ask for."""
+        change = state_pb2.Change(
+            change_id=self.option("change-id") or uuid.uuid4().hex,
+            operator=self.option("operator") or get_user(),
+            **kind,
+        )
+        expected = self.option("expect")
+        if expected is not None:
+            version = parse_number("expect", expected)
+            if isinstance(version, Err):
+                return version
+            change.expected_version = version.ok_value
+        return Ok(change)
+
+    async def submit(
+        self, client: ControllerClient, change: state_pb2.Change, what: str
+    ) -> Result[None, Failure]:
+        """Submit a change, print its version and wait for it if asked to."""
+        wait = parse_number("wait", self.option("wait") or "0")
+        if isinstance(wait, Err):
+            return wait
+        submitted = await client.submit(change)
+        if isinstance(submitted, Err):
+            return submitted
+        result = submitted.ok_value
+        if self.option("json"):
+            self.print(format_json(to_values(result)))
+        else:
+            version = f"version {result.generation}"
+            self.print(f"{what}: {version} (change id {result.change_id})")
+        if not wait.ok_value:
+            return Ok(None)
+        return await wait_until_in_force(
+            client, result.generation, wait.ok_value, self.note
+        )
--- /dev/null
+++ b/src/lentilfork/cli/client.py
@@ -0,0 +1,223 @@
+"""Calls to the controllers, made until one of them answers.
+
+Reads move on to the next controller when one fails or is silent. A change keeps
+its id over all attempts, so sending it again is safe; if no attempt got an
+answer but one may have arrived, the outcome is unknown and said to be.
+"""
+
+import asyncio
+import itertools
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+from typing import Final
+from typing import TypeVar
+
+import grpc.aio
+from result import Err
+from result import Ok
+from result import Result
+
+from lentilfork.channels import Channels
+from lentilfork.cli.connection import Connection
+from lentilfork.errors import ExitCode
+from lentilfork.errors import Failure
+from lentilfork.schema import admin_pb2
+from lentilfork.schema import admin_pb2_grpc
+from lentilfork.schema import state_pb2
+
+if TYPE_CHECKING:
+    # Stand in the type stubs only.
+    from lentilfork.schema.admin_pb2_grpc import AdministrationAsyncStub
+    from lentilfork.schema.admin_pb2_grpc import InspectionAsyncStub
+
+__all__ = ["ControllerClient"]
+
+# Longest wait for one controller before the next one is asked.
+ATTEMPT_TIMEOUT_S: Final = 2.0
+# Longest wait for a controller to commit a change.
+SUBMIT_ATTEMPT_TIMEOUT_S: Final = 4.0
+CONNECT_TIMEOUT_S: Final = 1.0
+RETRY_DELAY_S: Final = 0.2
+
+Reply = TypeVar("Reply")
+
+
+def describe_rpc_error(error: grpc.aio.AioRpcError) -> str:
+    """Return one line about a call that failed."""
+    return f"{error.code().name.lower().replace('_', ' ')}: {error.details() or '-'}"
+
+
+class ControllerClient:
+    """The administration API as one operator command uses it."""
+
+    connection: Connection
+    channels: Channels
+    # Longest time over all attempts of one call.
+    timeout_s: float
+    # What the last attempt at each controller met, by address.
+    problems: dict[str, str]
+
+    def __init__(self, connection: Connection, timeout_s: float) -> None:
+        self.connection = connection
+        self.channels = Channels(connection.tls)
+        self.timeout_s = timeout_s
+        self.problems = {}
+
+    async def close(self) -> None:
+        """Close all channels."""
+        await self.channels.close()
+
+    async def list_attempts(self) -> AsyncIterator[str]:
+        """Yield the controllers in turn, each round after a delay, in time."""
+        self.problems = {}
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + self.timeout_s
+        for round_number in itertools.count():
+            if round_number:
+                await asyncio.sleep(RETRY_DELAY_S)
+            for address in self.connection.controllers:
+                if round_number and loop.time() >= deadline:
+                    return
+                yield address
+
+    async def connect(self, address: str) -> "AdministrationAsyncStub":
+        """Return a stub once the channel is ready; raises TimeoutError."""
+        channel = self.channels.get(address)
+        try:
+            await asyncio.wait_for(channel.channel_ready(), CONNECT_TIMEOUT_S)
+        except TimeoutError:
+            self.problems[address] = "no connection"
+            raise
+        return admin_pb2_grpc.AdministrationStub(channel)
+
+    def fail(self, step: str, code: ExitCode, hint: str = "") -> Failure:
+        """Return the failure of a step that no controller answered."""
+        peers = ", ".join(self.connection.controllers)
+        problems = "; ".join(
+            f"{address} {problem}" for address, problem in self.problems.items()
+        )
+        return Failure(step, peers, f"{problems}{hint}", code)
+
+    async def read(
+        self,
+        step: str,
+        call: Callable[["AdministrationAsyncStub"], Awaitable[Reply]],
+    ) -> Result[Reply, Failure]:
+        """Return the first answer of any controller."""
+        async for address in self.list_attempts():
+            try:
+                stub = await self.connect(address)
+                return Ok(await call(stub))
+            except TimeoutError:
+                continue
+            except grpc.aio.AioRpcError as error:
+                self.problems[address] = describe_rpc_error(error)
+        return Err(self.fail(step, ExitCode.UNREACHABLE))
+
+    async def get_status(self) -> Result[admin_pb2.Status, Failure]:
+        """Return what a controller knows of the system and its members."""
+        request = admin_pb2.GetStatusRequest()
+        return await self.read(
+            "get status",
+            lambda stub: stub.GetStatus(request, timeout=ATTEMPT_TIMEOUT_S),
+        )
+
+    async def get_state(self) -> Result[state_pb2.Snapshot, Failure]:
+        """Return the agreed state as a controller holds it."""
+        request = admin_pb2.GetStateRequest()
+        return await self.read(
+            "get state", lambda stub: stub.GetState(request, timeout=ATTEMPT_TIMEOUT_S)
+        )
+
+    async def get_history(
+        self, after_generation: int
+    ) -> Result[admin_pb2.History, Failure]:
+        """Return the changes accepted after a generation."""
+        request = admin_pb2.GetHistoryRequest(after_generation=after_generation)
+        return await self.read(
+            "get history",
+            lambda stub: stub.GetHistory(request, timeout=ATTEMPT_TIMEOUT_S),
+        )
+
+    async def watch(self) -> AsyncIterator[Result[admin_pb2.Status, Failure]]:
+        """Yield a status after each change; ends when no controller answers."""
+        answered = True
+        while answered:
+            answered = False
+            async for address in self.list_attempts():
+                try:
+                    stub = await self.connect(address)
+                    async for status in stub.Watch(admin_pb2.GetStatusRequest()):
+                        answered = True
+                        yield Ok(status)
+                    self.problems[address] = "ended the stream"
+                except TimeoutError:
+                    continue
+                except grpc.aio.AioRpcError as error:
+                    self.problems[address] = describe_rpc_error(error)
+                if answered:
+                    await asyncio.sleep(RETRY_DELAY_S)
+                    break
+        yield Err(self.fail("watch", ExitCode.UNREACHABLE))
+
+    async def dump(self, address: str) -> Result[str, Failure]:
+        """Return the state of one process as JSON text."""
+        step = "dump state"
+        channel = self.channels.get(address)
+        stub: InspectionAsyncStub = admin_pb2_grpc.InspectionStub(channel)
+        try:
+            reply = await stub.Dump(admin_pb2.DumpRequest(), timeout=self.timeout_s)
+        except grpc.aio.AioRpcError as error:
+            problem = describe_rpc_error(error)
+            return Err(Failure(step, address, problem, ExitCode.UNREACHABLE))
+        return Ok(reply.json)
+
+    async def submit(
+        self, change: state_pb2.Change
+    ) -> Result[state_pb2.ChangeResult, Failure]:
+        """Send a change until its outcome is known or the time is over."""
+        step = "submit change"
+        # Set once an attempt may have arrived without being answered.
+        uncertain = False
+        async for address in self.list_attempts():
+            try:
+                stub = await self.connect(address)
+            except TimeoutError:
+                continue
+            try:
+                reply = await stub.Submit(change, timeout=SUBMIT_ATTEMPT_TIMEOUT_S)
+            except grpc.aio.AioRpcError as error:
+                self.problems[address] = describe_rpc_error(error)
+                uncertain = True
+                continue
+            if reply.HasField("result"):
+                return judge_result(step, address, reply.result)
+            if reply.refused and not uncertain:
+                return Err(Failure(step, address, reply.refused))
+            self.problems[address] = reply.refused or "outcome unknown"
+            uncertain = True
+        if not uncertain:
+            return Err(self.fail(step, ExitCode.UNREACHABLE, "; nothing was sent"))
+        hint = (
+            "; outcome unknown: the change may have taken effect or may yet; "
+            f"resend it with --change-id {change.change_id}"
+        )
+        return Err(self.fail(step, ExitCode.UNKNOWN, hint))
+
+
+def judge_result(
+    step: str, address: str, result: state_pb2.ChangeResult
+) -> Result[state_pb2.ChangeResult, Failure]:
+    """Return an accepted result, or what it was refused for."""
+    if result.outcome == state_pb2.ACCEPTED:
+        return Ok(result)
+    message = result.message or "the change was refused"
+    if result.outcome == state_pb2.VERSION_CONFLICT and result.HasField("conflict"):
+        winner = result.conflict
+        message += (
+            f"; generation {winner.generation} by {winner.operator or 'the system'} "
+            f"came first: {winner.summary} (change id {winner.change_id})"
+        )
+    return Err(Failure(step, address, message))
--- /dev/null
+++ b/src/lentilfork/cli/definitions.py
@@ -0,0 +1,85 @@
+"""Definition files of services and presets, checked before they are sent.
+
+The models are the border between an operator's JSON file and the messages of the
+administration API; their JSON Schemas are published beside the settings' schema.
+"""
+
+import ipaddress
+from typing import Annotated
+from typing import Final
+
+from pydantic import AfterValidator
+from pydantic import Field
+from pydantic import TypeAdapter
+
+from lentilfork.schema import state_pb2
+from lentilfork.settings import MAXIMUM_PORT
+from lentilfork.settings import DocumentModel
+from lentilfork.settings import ProcessName
+
+__all__ = [
+    "PRESET_ADAPTER",
+    "SERVICE_ADAPTER",
+    "PresetDefinition",
+    "ServiceDefinition",
+]
+
+MAXIMUM_TIME_MS: Final = 600_000
+MAXIMUM_LONG_PATHS: Final = 64
+
+
+def check_ip_address(text: str) -> str:
+    """Return `text` if it is an IPv4 address, else raises ValueError."""
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError:
+        raise ValueError("expected an IPv4 address, such as 10.8.0.1") from None
+    return text
+
+
+IpAddress = Annotated[str, AfterValidator(check_ip_address)]
+PathSegment = Annotated[str, Field(pattern=r"^[^/]+$", max_length=255)]
+Milliseconds = Annotated[int, Field(ge=0, le=MAXIMUM_TIME_MS)]
+Percent = Annotated[int, Field(ge=0, le=100)]
+
+
+class ServiceDefinition(DocumentModel):
+    """A service: where its callers send, and how long they wait."""
+
+    name: ProcessName
+    address: IpAddress
+    port: Annotated[int, Field(ge=1, le=MAXIMUM_PORT)]
+    deadline_ms: Annotated[int, Field(ge=1, le=MAXIMUM_TIME_MS)]
+    # First path segments whose answers are long and served block-wise.
+    long_paths: Annotated[
+        tuple[PathSegment, ...], Field(max_length=MAXIMUM_LONG_PATHS)
+    ] = ()
+
+    def to_message(self) -> state_pb2.Service:
+        """Return the message that applies this definition."""
+        return state_pb2.Service(**self.model_dump(exclude={"schema_"}))
+
+
+class PresetDefinition(DocumentModel):
+    """The limits in force while this preset is selected."""
+
+    name: ProcessName
+    # Requests that may wait for each slot, and for how long.
+    queue_per_slot: Annotated[int, Field(ge=0, le=10_000)]
+    queue_time_ms: Milliseconds
+    # Retries allowed per hundred requests.
+    retry_budget_percent: Percent
+    # A second try of an idempotent request starts after this time; 0: never.
+    hedge_after_ms: Milliseconds = 0
+    # Longest wait for running work when a process leaves.
+    drain_ms: Milliseconds
+    # Time in which a new endpoint grows to its full share.
+    cold_start_ms: Milliseconds
+
+    def to_message(self) -> state_pb2.Preset:
+        """Return the message that applies this definition."""
+        return state_pb2.Preset(**self.model_dump(exclude={"schema_"}))
+
+
+SERVICE_ADAPTER: Final = TypeAdapter(ServiceDefinition)
+PRESET_ADAPTER: Final = TypeAdapter(PresetDefinition)
--- /dev/null
+++ b/src/lentilfork/cli/presets.py
@@ -0,0 +1,126 @@
+"""Commands about presets."""
+
+from pathlib import Path
+from typing import ClassVar
+
+from cleo.helpers import argument
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+from result import Err
+from result import Ok
+from result import Result
+
+from lentilfork.cli.changes import CHANGE_OPTIONS
+from lentilfork.cli.changes import ChangeCommand
+from lentilfork.cli.client import ControllerClient
+from lentilfork.cli.command import JSON_OPTION
+from lentilfork.cli.command import ClientCommand
+from lentilfork.cli.definitions import PRESET_ADAPTER
+from lentilfork.cli.output import format_json
+from lentilfork.cli.output import format_table
+from lentilfork.cli.output import to_values
+from lentilfork.errors import Failure
+from lentilfork.settings import load_document
+
+__all__ = ["PresetApply", "PresetList", "PresetUse"]
+
+
+class PresetApply(ChangeCommand):
+    """Create or change a preset."""
+
+    name = "preset apply"
+    description = "Create a preset or change its limits."
+    arguments: ClassVar[list[Argument]] = [argument("file", "Preset definition (JSON)")]
+    options = CHANGE_OPTIONS
+    help = """
+Examples:
+  lentilfork preset apply peak.json
+  lentilfork preset apply peak.json --expect 7 --wait 10
+"""
+
+    async def run_with(self, client: ControllerClient) -> Result[None, Failure]:
+        """Submit the definition in the file."""
+        path = Path(self.argument("file"))
+        loaded = load_document(path, PRESET_ADAPTER, "read preset definition")
+        if isinstance(loaded, Err):
+            return loaded
+        definition = loaded.ok_value
+        change = self.make_change(apply_preset=definition.to_message())
+        if isinstance(change, Err):
+            return change
+        what = f"preset {definition.name}"
+        return await self.submit(client, change.ok_value, what)
+
+
+class PresetUse(ChangeCommand):
+    """Select the preset in force."""
+
+    name = "preset use"
+    description = "Put a preset in force."
+    arguments: ClassVar[list[Argument]] = [argument("preset", "Name of the preset")]
+    options = CHANGE_OPTIONS
+    help = """
+Examples:
+  lentilfork preset use peak --wait 10
+  lentilfork preset use ordinary-day --expect 31
+"""
+
+    async def run_with(self, client: ControllerClient) -> Result[None, Failure]:
+        """Submit the selection."""
+        preset = self.argument("preset")
+        change = self.make_change(use_preset=preset)
+        if isinstance(change, Err):
+            return change
+        return await self.submit(client, change.ok_value, f"preset {preset} in use")
+
+
+class PresetList(ClientCommand):
+    """List the presets."""
+
+    name = "preset list"
+    description = "List the presets; an asterisk marks the one in force."
+    options: ClassVar[list[Option]] = [JSON_OPTION]
+    help = """
+Examples:
+  lentilfork preset list
+  lentilfork preset list --json
+"""
+
+    async def run_with(self, client: ControllerClient) -> Result[None, Failure]:
+        """Print the presets of the agreed state."""
+        state = await client.get_state()
+        if isinstance(state, Err):
+            return state
+        active = state.ok_value.active_preset
+        presets = [
+            {**to_values(preset), "active": preset.name == active}
+            for preset in state.ok_value.presets
+        ]
+        if self.option("json"):
+            self.print(format_json(presets))
+            return Ok(None)
+        rows = [
+            (
+                f"{preset['name']}{' *' if preset['active'] else ''}",
+                preset["queue_per_slot"],
+                preset["queue_time_ms"],
+                preset["retry_budget_percent"],
+                preset["hedge_after_ms"],
+                preset["drain_ms"],
+                preset["cold_start_ms"],
+                preset["version"],
+            )
+            for preset in presets
+        ]
+        headings = (
+            "PRESET",
+            "QUEUE/SLOT",
+            "QUEUE MS",
+            "RETRY %",
+            "HEDGE MS",
+            "DRAIN MS",
+            "COLD START MS",
+            "VERSION",
+        )
+        self.print(format_table(headings, rows))
+        return Ok(None)
--- a/src/lentilfork/errors.py
+++ b/src/lentilfork/errors.py
@@ -8,9 +8,10 @@
 
 from dataclasses import dataclass
 from enum import IntEnum
+from enum import StrEnum
 from enum import unique
 
-__all__ = ["ExitCode", "Failure"]
+__all__ = ["DropReason", "ExitCode", "Failure"]
 
 
 @unique
@@ -26,6 +27,8 @@
     UNREACHABLE = 3
     # The outcome is unknown; resend with the same change id.
     UNKNOWN = 4
+    # Accepted, but not in force everywhere within the time given.
+    LAGGING = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +41,26 @@
     peer: str
     # What went wrong and what was expected instead.
     message: str
+    # With which a command ends that meets this failure.
+    code: ExitCode = ExitCode.REFUSED
 
     def __str__(self) -> str:
         return f"{self.step} ({self.peer}): {self.message}"
+
+
+@unique
+class DropReason(StrEnum):
+    """Why a packet was dropped; each reason is a counter."""
+
+    TRUNCATED = "truncated"
+    OVERSIZED = "oversized"
+    NOT_IPV4 = "not-ipv4"
+    NOT_UDP = "not-udp"
+    FRAGMENT = "fragment"
+    UNKNOWN_SERVICE = "unknown-service"
+    WRONG_SERVICE = "wrong-service"
+    NO_AGENT = "no-agent"
+    BAD_ENVELOPE = "bad-envelope"
+    HOP_LIMIT = "hop-limit"
+    NOT_COAP = "not-coap"
+    OVERLOADED = "overloaded"
--- a/src/lentilfork/settings.py
+++ b/src/lentilfork/settings.py
@@ -11,6 +11,7 @@
 from typing import Annotated
 from typing import Final
 from typing import Literal
+from typing import TypeVar
 
 from pydantic import AfterValidator
 from pydantic import BaseModel
@@ -22,6 +23,7 @@
 from result import Ok
 from result import Result
 
+from lentilfork.errors import ExitCode
 from lentilfork.errors import Failure
 
 __all__ = [
@@ -31,18 +33,25 @@
     "CommonSettings",
     "ControllerPeer",
     "ControllerSettings",
+    "DocumentModel",
+    "FrozenModel",
     "LogSettings",
     "MetricsSettings",
+    "ProcessName",
     "Settings",
     "SocketAddress",
     "TlsSettings",
+    "load_document",
     "load_settings",
     "split_address",
 ]
 
 STEP: Final = "read settings"
+ROLES: Final = frozenset({"agent", "balancer", "controller"})
 MAXIMUM_PORT: Final = 65535
 
+Document = TypeVar("Document")
+
 
 def check_socket_address(text: str) -> str:
     """Return `text` if it is an IPv4 address and a port, else raises ValueError."""
@@ -72,6 +81,12 @@
     model_config = ConfigDict(extra="forbid", frozen=True)
 
 
+class DocumentModel(FrozenModel):
+    """A whole file, which may name its JSON Schema for editors."""
+
+    schema_: Annotated[str | None, Field(alias="$schema")] = None
+
+
 class LogSettings(FrozenModel):
     """How log records are written to standard error."""
 
@@ -94,7 +109,7 @@
     authority: Path
 
 
-class CommonSettings(FrozenModel):
+class CommonSettings(DocumentModel):
     """What every role needs."""
 
     name: ProcessName
@@ -155,31 +170,70 @@
 )
 
 
-def describe_validation_error(error: ValidationError) -> str:
-    """Return the first problem of a validation error as one line."""
-    first = error.errors()[0]
-    # The discriminator stands in front of the location; it is no key of the file.
+def describe_validation_error(error: ValidationError, tags: frozenset[str]) -> str:
+    """Return the first problem of a validation error as one line.
+
+    `tags` are the values that select a model of a union: they stand first in the
+    location of an error and are no keys of the file.
+    """
+    first = error.errors(include_url=False)[0]
     keys = [str(part) for part in first["loc"]]
-    if keys and keys[0] in {"balancer", "agent", "controller"}:
+    if keys and keys[0] in tags:
         keys = keys[1:]
-    message = first["msg"].removeprefix("Value error, ")
-    return f"key {'.'.join(keys) or 'role'}: {message}"
+    key = ".".join(keys)
+    match first["type"]:
+        case "extra_forbidden":
+            return f"key {key}: unknown; expected no such key"
+        case "missing":
+            return f"key {key}: missing; expected a value"
+        case "union_tag_invalid" | "union_tag_not_found":
+            return f"key role: expected one of {', '.join(sorted(tags))}"
+        case _:
+            message = first["msg"].removeprefix("Value error, ")
+            return f"key {key or '-'}: {message}"
+
+
+def refuse_repeated_keys(pairs: list[tuple[str, object]]) -> dict[str, object]:
+    """Return a JSON object as a dictionary; raises KeyError for a repeated key."""
+    document = dict(pairs)
+    if len(document) < len(pairs):
+        names = [name for name, _ in pairs]
+        raise KeyError(next(name for name in names if names.count(name) > 1))
+    return document
+
+
+def load_document(
+    path: Path,
+    adapter: TypeAdapter[Document],
+    step: str,
+    tags: frozenset[str] = frozenset(),
+) -> Result[Document, Failure]:
+    """Read and checks a JSON file; the failure names file, key and reason."""
 
+    def refuse(message: str) -> Err[Failure]:
+        return Err(Failure(step, str(path), message, ExitCode.USAGE))
 
-def load_settings(
-    path: Path,
-) -> Result[BalancerSettings | AgentSettings | ControllerSettings, Failure]:
-    """Read and checks a settings file; the failure names file, key and reason."""
     try:
-        document = json.loads(path.read_text(encoding="utf-8"))
+        text = path.read_text(encoding="utf-8")
+        json.loads(text, object_pairs_hook=refuse_repeated_keys)
+        return Ok(adapter.validate_json(text, strict=True))
     except OSError as error:
-        return Err(Failure(STEP, str(path), error.strerror or str(error)))
+        return refuse(f"{error.strerror or error}; expected a readable file")
+    except RecursionError:
+        return refuse("nested too deeply; expected a flat document")
     except UnicodeDecodeError:
-        return Err(Failure(STEP, str(path), "expected UTF-8 text"))
+        return refuse("expected UTF-8 text")
     except json.JSONDecodeError as error:
-        text = f"line {error.lineno}, column {error.colno}: {error.msg}; expected JSON"
-        return Err(Failure(STEP, str(path), text))
-    try:
-        return Ok(SETTINGS_ADAPTER.validate_python(document, strict=False))
+        place = f"line {error.lineno}, column {error.colno}"
+        return refuse(f"{place}: {error.msg}; expected JSON")
+    except KeyError as error:
+        return refuse(f"key {error.args[0]}: repeated; expected it once")
     except ValidationError as error:
-        return Err(Failure(STEP, str(path), describe_validation_error(error)))
+        return refuse(describe_validation_error(error, tags))
+
+
+def load_settings(
+    path: Path,
+) -> Result[BalancerSettings | AgentSettings | ControllerSettings, Failure]:
+    """Read and checks a settings file; the failure names file, key and reason."""
+    return load_document(path, SETTINGS_ADAPTER, STEP, ROLES)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -17,7 +17,7 @@
 }
 
 REFUSED: dict[str, tuple[dict[str, object], str]] = {
-    "unknown key": ({"speed": 3}, "key speed: Extra inputs are not permitted"),
+    "unknown key": ({"speed": 3}, "key speed: unknown; expected no such key"),
     "wrong type": ({"controllers": 7}, "key controllers:"),
     "not an address": (
         {"packet_address": "localhost"},
