--- /dev/null
+++ b/src/lentilfork/bench/description.py
@@ -0,0 +1,109 @@
+"""Description of a deployment: the border at which its JSON files are checked.
+
+A description names the places, how many processes of each role stand there, and
+for each service its definition, endpoints, slots and service times. In a file, a
+definition or a preset may be the name of another file beside it.
+"""
+
+import json
+from pathlib import Path
+from typing import Annotated
+from typing import Any
+from typing import Literal
+
+from pydantic import BaseModel
+from pydantic import ConfigDict
+from pydantic import Field
+
+__all__ = [
+    "Definition",
+    "DeploymentDescription",
+    "PresetDefinition",
+    "ServiceDescription",
+    "load_description",
+]
+
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+
+
+class FrozenModel(BaseModel):
+    """A model that refuses unknown keys and later changes."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class Definition(FrozenModel):
+    """A service as operators apply it; see `Service` in schema/state.proto."""
+
+    name: Name
+    # Replaced by a loopback address where the deployment is started.
+    address: str = "127.0.0.1"
+    port: int = 5683
+    deadline_ms: int = Field(default=6_000, gt=0)
+    long_paths: tuple[str, ...] = ()
+
+
+class PresetDefinition(FrozenModel):
+    """Limits as operators apply them; see `Preset` in schema/state.proto."""
+
+    name: Name
+    queue_per_slot: int
+    queue_time_ms: int
+    retry_budget_percent: int
+    hedge_after_ms: int = 0
+    drain_ms: int = 60_000
+    cold_start_ms: int = 5_000
+
+
+class ServiceDescription(FrozenModel):
+    """A service and the backend servers that stand in for it."""
+
+    definition: Definition
+    endpoints: int = Field(gt=0)
+    slots: int = Field(default=1, gt=0)
+    # Requests that wait inside a backend server.
+    queue: int = Field(default=2, ge=0)
+    # Means at speed 1.
+    service_time_ms: float = 10.0
+    long_service_time_ms: float = 100.0
+    distribution: Literal["fixed", "exponential", "lognormal"] = "exponential"
+    # Speeds of the endpoints in turn; repeated where there are fewer.
+    speeds: tuple[float, ...] = (1.0,)
+    cold_start_s: float = 0.0
+    long_content_bytes: int = 40_000
+
+
+class DeploymentDescription(FrozenModel):
+    """A whole deployment."""
+
+    name: Name
+    places: tuple[Name, ...] = ("here",)
+    controllers: int = Field(default=3, gt=0)
+    balancers: int = Field(default=3, gt=0)
+    services: tuple[ServiceDescription, ...]
+    presets: tuple[PresetDefinition, ...] = ()
+    # One way, between callers and the fabric.
+    caller_delay_ms: float = 0.0
+    # One way, from the fabric to the balancers of the second and later places.
+    place_delay_ms: float = 0.0
+    seed: int = 1
+
+
+def load_description(path: Path) -> DeploymentDescription:
+    """Read a description; raises OSError or ValueError (pydantic's included)."""
+    document = json.loads(path.read_text(encoding="utf-8"))
+    services = [
+        {**service, "definition": load_part(path, service["definition"])}
+        for service in document.get("services", [])
+    ]
+    presets = [load_part(path, preset) for preset in document.get("presets", [])]
+    return DeploymentDescription.model_validate(
+        {**document, "services": services, "presets": presets}
+    )
+
+
+def load_part(path: Path, part: Any) -> Any:
+    """Return a part of a description, read from its own file where it names one."""
+    if not isinstance(part, str):
+        return part
+    return json.loads((path.parent / part).read_text(encoding="utf-8"))
--- a/src/lentilfork/bench/fabric.py
+++ b/src/lentilfork/bench/fabric.py
@@ -104,6 +104,8 @@
     counters: Counters
     # The balancers packets go to at this moment.
     balancers: tuple[Address, ...]
+    # One way from the fabric to a balancer in milliseconds; 0 where not listed.
+    balancer_delays: dict[str, float]
     # Sockets of the services by their address.
     sockets: dict[Address, socket.socket]
     # Takes answers from agents; also sends packets to balancers.
@@ -113,6 +115,7 @@
         self.config = config
         self.counters = Counters()
         self.balancers = tuple(split_address(text) for text in config.balancers)
+        self.balancer_delays = dict(config.balancer_delay_ms)
         self.sockets = {}
         self.returns = None
         self.random = random.Random(config.seed)
@@ -140,8 +143,9 @@
         self.returns = None
 
     def apply(self, change: ControlChange) -> None:
-        """Take a new list of balancers: `{"balancers": ["ip:port", ...]}`."""
+        """Take new balancers, `{"balancers": ["ip:port", ...]}`, and their delays."""
         self.balancers = tuple(split_address(text) for text in change["balancers"])
+        self.balancer_delays = dict(change.get("balancer_delay_ms", {}))
 
     def take_requests(self, source: socket.socket, service: Address) -> None:
         """Pass what callers have sent to one service."""
@@ -163,7 +167,7 @@
 
     def get_delay(self, balancer: Address) -> float:
         """Return the one-way time from a caller to a balancer in milliseconds."""
-        extra = self.config.balancer_delay_ms.get(f"{balancer[0]}:{balancer[1]}", 0.0)
+        extra = self.balancer_delays.get(f"{balancer[0]}:{balancer[1]}", 0.0)
         return self.config.caller_delay_ms + extra
 
     def take_answers(self) -> None:
--- /dev/null
+++ b/src/lentilfork/bench/plan.py
@@ -0,0 +1,222 @@
+"""Names, addresses and settings of a deployment's processes; starts nothing.
+
+Every host gets an address of its own from one block, so no two processes share a
+port. `Wiring` says at which address one process reaches another; a test that puts
+a proxy between two overrides it.
+"""
+
+import itertools
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+from typing import Final
+
+from lentilfork.bench.addresses import AddressBlock
+from lentilfork.bench.backend_server import BackendServerConfig
+from lentilfork.bench.description import DeploymentDescription
+from lentilfork.bench.description import ServiceDescription
+from lentilfork.settings import split_address
+
+__all__ = ["Endpoint", "Host", "Plan", "Wiring"]
+
+CONTROL_PORT: Final = 7_000
+PACKET_PORT: Final = 6_081
+BACKEND_PORT: Final = 5_000
+
+
+@dataclass(frozen=True, slots=True)
+class Host:
+    """A host of the system and the process on it."""
+
+    name: str
+    place: str
+    control_address: str
+    # Empty for controllers.
+    packet_address: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """An agent and the backend server beside it."""
+
+    agent: Host
+    service: str
+    # What the backend server's process is told; its name is the process name.
+    config: BackendServerConfig
+
+
+class Wiring:
+    """Addresses at which processes reach each other; these are the true ones."""
+
+    def get_controller(self, member: str, controller: Host) -> str:
+        """Return where `member` reaches a controller."""
+        return controller.control_address
+
+    def get_balancer(self, balancer: Host) -> str:
+        """Return where the fabric reaches a balancer."""
+        return balancer.packet_address
+
+    def get_return(self, agent: str, return_address: str) -> str:
+        """Return where an agent sends answers."""
+        return return_address
+
+    def get_server(self, agent: str, server_address: str) -> str:
+        """Return where an agent reaches its backend server."""
+        return server_address
+
+
+class Plan:
+    """What runs where in one deployment."""
+
+    description: DeploymentDescription
+    # Where data and journals go.
+    folder: Path
+    wiring: Wiring
+    addresses: AddressBlock
+    # By process name.
+    controllers: dict[str, Host]
+    balancers: dict[str, Host]
+    # By the agent's process name.
+    endpoints: dict[str, Endpoint]
+    # "ip:port" callers send to, by service name.
+    services: dict[str, str]
+    # Where agents send answers.
+    return_address: str
+    # Numbers of the next processes, by the first part of their names.
+    numbers: dict[str, Iterator[int]]
+    # Places of the next processes, by the first part of their names.
+    places: dict[str, Iterator[str]]
+
+    def __init__(
+        self, description: DeploymentDescription, folder: Path, wiring: Wiring
+    ) -> None:
+        self.description = description
+        self.folder = folder
+        self.wiring = wiring
+        self.addresses = AddressBlock()
+        self.services = {
+            service.definition.name: self.addresses.take_address(
+                service.definition.port
+            )
+            for service in description.services
+        }
+        self.return_address = self.addresses.take_address(PACKET_PORT)
+        self.controllers = {}
+        self.balancers = {}
+        self.endpoints = {}
+        kinds = ("control", "entry", *self.services)
+        self.numbers = {kind: itertools.count(1) for kind in kinds}
+        self.places = {kind: itertools.cycle(description.places) for kind in kinds}
+
+    def get_service(self, name: str) -> ServiceDescription:
+        """Return a service of the description by name; raises KeyError."""
+        by_name = {
+            service.definition.name: service for service in self.description.services
+        }
+        return by_name[name]
+
+    def list_hosts(self) -> dict[str, Host]:
+        """Return all hosts of the system by process name."""
+        agents = {name: endpoint.agent for name, endpoint in self.endpoints.items()}
+        return {**self.controllers, **self.balancers, **agents}
+
+    def take_host(self, kind: str, place: str | None = None) -> Host:
+        """Return a new host for a process of a kind, in turn over the places."""
+        number = next(self.numbers[kind])
+        turn = next(self.places[kind])
+        ip = self.addresses.take_host()
+        control, packets = f"{ip}:{CONTROL_PORT}", f"{ip}:{PACKET_PORT}"
+        return Host(f"{kind}-{number}", place or turn, control, packets)
+
+    def add_controller(self, place: str | None = None) -> Host:
+        """Plan one more controller."""
+        host = self.take_host("control", place)
+        self.controllers[host.name] = host
+        return host
+
+    def add_balancer(self, place: str | None = None) -> Host:
+        """Plan one more balancer."""
+        host = self.take_host("entry", place)
+        self.balancers[host.name] = host
+        return host
+
+    def add_endpoint(self, service: str, place: str | None = None) -> Endpoint:
+        """Plan one more endpoint of a service, at the next of its speeds."""
+        described = self.get_service(service)
+        agent = self.take_host(service, place)
+        number = int(agent.name.rpartition("-")[2])
+        speed = described.speeds[(number - 1) % len(described.speeds)]
+        config = self.make_server_config(agent, described, speed)
+        endpoint = Endpoint(agent, service, config)
+        self.endpoints[agent.name] = endpoint
+        return endpoint
+
+    def make_server_config(
+        self, agent: Host, service: ServiceDescription, speed: float
+    ) -> BackendServerConfig:
+        """Return what the backend server beside an agent is told."""
+        ip, _ = split_address(agent.control_address)
+        name = f"server-{agent.name}"
+        return BackendServerConfig.model_validate(
+            {
+                "name": name,
+                "address": f"{ip}:{BACKEND_PORT}",
+                "journal": self.folder / f"{name}.journal",
+                "slots": service.slots,
+                "queue": service.queue,
+                "service_time_ms": service.service_time_ms,
+                "long_service_time_ms": service.long_service_time_ms,
+                "distribution": service.distribution,
+                "cold_start_s": service.cold_start_s,
+                "long_content_bytes": service.long_content_bytes,
+                "seed": self.description.seed,
+                "behaviour": {"speed": speed},
+            }
+        )
+
+    def make_common_settings(self, role: str, host: Host) -> dict[str, Any]:
+        """Return what the settings of every role have."""
+        return {
+            "role": role,
+            "name": host.name,
+            "data_centre": host.place,
+            "control_address": host.control_address,
+        }
+
+    def make_controller_settings(self, host: Host) -> dict[str, Any]:
+        """Return the settings of a controller that knows those planned so far."""
+        return {
+            **self.make_common_settings("controller", host),
+            "data_folder": str(self.folder / f"{host.name}-data"),
+            "controllers": [
+                {"name": peer.name, "address": peer.control_address}
+                for peer in self.controllers.values()
+            ],
+        }
+
+    def make_member_settings(self, role: str, host: Host) -> dict[str, Any]:
+        """Return what the settings of balancers and agents have."""
+        return {
+            **self.make_common_settings(role, host),
+            "packet_address": host.packet_address,
+            "controllers": [
+                self.wiring.get_controller(host.name, controller)
+                for controller in self.controllers.values()
+            ],
+        }
+
+    def make_balancer_settings(self, host: Host) -> dict[str, Any]:
+        """Return the settings of a balancer."""
+        return self.make_member_settings("balancer", host)
+
+    def make_agent_settings(self, endpoint: Endpoint) -> dict[str, Any]:
+        """Return the settings of an agent."""
+        name = endpoint.agent.name
+        return {
+            **self.make_member_settings("agent", endpoint.agent),
+            "return_address": self.wiring.get_return(name, self.return_address),
+            "service": endpoint.service,
+            "backend_server": self.wiring.get_server(name, endpoint.config.address),
+            "slots": endpoint.config.slots,
+        }
--- /dev/null
+++ b/src/lentilfork/bench/processes.py
@@ -0,0 +1,224 @@
+"""Real processes of a deployment: start, signals, control lines and a sure end.
+
+Each process is a session of its own, so an interrupt at the terminal reaches only
+the launcher. A guard process kills what is left when the launcher dies without
+closing; `ProcessGroup.close` and `atexit` do so in every other case.
+"""
+
+import asyncio
+import atexit
+import json
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Final
+
+from lentilfork.bench.control import ANSWER_APPLIED
+from lentilfork.bench.control import ANSWER_READY
+from lentilfork.bench.control import ControlChange
+
+__all__ = ["Process", "ProcessGroup", "wait_until"]
+
+POLL_S: Final = 0.02
+ANSWER_TIMEOUT_S: Final = 10.0
+EXIT_TIMEOUT_S: Final = 10.0
+
+
+class Process:
+    """One process of a run; it may be started again after its end."""
+
+    name: str
+    # Arguments after the Python interpreter.
+    arguments: tuple[str, ...]
+    # Standard output and standard error; a later start appends.
+    output: Path
+    errors: Path
+    group: "ProcessGroup"
+    # The running or the last process; None before the first start.
+    popen: subprocess.Popen[bytes] | None
+
+    def __init__(
+        self, name: str, arguments: tuple[str, ...], group: "ProcessGroup"
+    ) -> None:
+        self.name = name
+        self.arguments = arguments
+        self.group = group
+        self.output = group.folder / f"{name}.out"
+        self.errors = group.folder / f"{name}.log"
+        self.popen = None
+
+    @property
+    def pid(self) -> int:
+        """Process id of the last start; raises RuntimeError before the first."""
+        if self.popen is None:
+            raise RuntimeError(f"{self.name} was never started")
+        return self.popen.pid
+
+    @property
+    def alive(self) -> bool:
+        """Whether the process runs or is stopped by a signal."""
+        return self.popen is not None and self.popen.poll() is None
+
+    @property
+    def log(self) -> str:
+        """Everything written to standard error so far."""
+        return self.errors.read_text(errors="replace") if self.errors.exists() else ""
+
+    def start(self) -> None:
+        """Start the process; raises RuntimeError where it runs already."""
+        if self.alive:
+            raise RuntimeError(f"{self.name} runs already")
+        with self.output.open("ab") as output, self.errors.open("ab") as errors:
+            self.popen = subprocess.Popen(
+                [sys.executable, *self.arguments],
+                stdin=subprocess.PIPE,
+                stdout=output,
+                stderr=errors,
+                start_new_session=True,
+            )
+        self.group.note_start(self.popen.pid)
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal; nothing happens where the process is gone."""
+        if self.popen is not None and self.alive:
+            self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once and wait for its end."""
+        self.send_signal(signal.SIGKILL)
+        if self.popen is not None:
+            self.popen.wait(EXIT_TIMEOUT_S)
+            self.note_end()
+
+    def note_end(self) -> None:
+        """Close the pipe of a process that has ended."""
+        if self.popen is None or self.popen.stdin is None:
+            return
+        if not self.popen.stdin.closed:
+            self.popen.stdin.close()
+            self.group.note_end(self.popen.pid)
+
+    def terminate(self) -> None:
+        """Ask the process to stop gracefully."""
+        self.send_signal(signal.SIGTERM)
+
+    def freeze(self) -> None:
+        """Stop the process where it stands, until `thaw`."""
+        self.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a frozen process go on."""
+        self.send_signal(signal.SIGCONT)
+
+    async def wait_exit(self, timeout_s: float = EXIT_TIMEOUT_S) -> int:
+        """Return the exit code; raises TimeoutError."""
+        await wait_until(lambda: not self.alive, timeout_s, f"{self.name} to end")
+        self.note_end()
+        assert self.popen is not None
+        return self.popen.returncode
+
+    def count_answers(self) -> int:
+        """Return how many lines the process wrote to standard output."""
+        return self.output.read_bytes().count(b"\n") if self.output.exists() else 0
+
+    async def start_ready(self) -> None:
+        """Start a stand-in and wait for its first line; raises RuntimeError."""
+        before = self.count_answers()
+        self.start()
+        await self.expect_answer(before, ANSWER_READY)
+
+    async def send_control(self, change: ControlChange) -> None:
+        """Apply a change to a stand-in; returns when it is in force."""
+        assert self.popen is not None
+        assert self.popen.stdin is not None
+        before = self.count_answers()
+        self.popen.stdin.write(json.dumps(change).encode() + b"\n")
+        self.popen.stdin.flush()
+        await self.expect_answer(before, ANSWER_APPLIED)
+
+    async def expect_answer(self, before: int, expected: str) -> None:
+        """Wait for a line after the first `before`; raises RuntimeError."""
+        await wait_until(
+            lambda: self.count_answers() > before or not self.alive,
+            ANSWER_TIMEOUT_S,
+            f"an answer of {self.name}",
+        )
+        lines = self.output.read_text().splitlines()
+        if len(lines) <= before or lines[before] != expected:
+            raise RuntimeError(f"{self.name}: {lines[before:]}\n{self.log[-2000:]}")
+
+
+class ProcessGroup:
+    """All processes of a run."""
+
+    # Where outputs and logs go.
+    folder: Path
+    processes: dict[str, Process]
+    # Kills what is left when this process dies; None until the first start.
+    guard: subprocess.Popen[bytes] | None
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.processes = {}
+        self.guard = None
+        atexit.register(self.close)
+
+    def add(self, name: str, *arguments: str) -> Process:
+        """Return a new process, not started; `name` must be unused."""
+        if name in self.processes:
+            raise ValueError(f"{name} exists already")
+        process = Process(name, arguments, self)
+        self.processes[name] = process
+        return process
+
+    def start_guard(self) -> subprocess.Popen[bytes]:
+        """Return the running guard; starts it on first use."""
+        if self.guard is None:
+            self.guard = subprocess.Popen(
+                [sys.executable, "-m", "lentilfork.bench.guard"],
+                stdin=subprocess.PIPE,
+                start_new_session=True,
+            )
+        return self.guard
+
+    def tell_guard(self, line: str) -> None:
+        """Write one line to the guard."""
+        guard = self.start_guard()
+        assert guard.stdin is not None
+        guard.stdin.write(line.encode() + b"\n")
+        guard.stdin.flush()
+
+    def note_start(self, pid: int) -> None:
+        """Have the guard end this process should the launcher die."""
+        self.tell_guard(f"+{pid}")
+
+    def note_end(self, pid: int) -> None:
+        """Tell the guard that a process has ended."""
+        self.tell_guard(f"-{pid}")
+
+    def close(self) -> None:
+        """Kill every process and wait for their ends; may be called twice."""
+        atexit.unregister(self.close)
+        for process in self.processes.values():
+            process.send_signal(signal.SIGKILL)
+        for process in self.processes.values():
+            process.kill()
+        if self.guard is not None:
+            assert self.guard.stdin is not None
+            self.guard.stdin.close()
+            self.guard.wait(EXIT_TIMEOUT_S)
+            self.guard = None
+
+
+async def wait_until(
+    condition: Callable[[], bool], timeout_s: float, what: str, poll_s: float = POLL_S
+) -> None:
+    """Poll until `condition` holds; raises TimeoutError naming what was awaited."""
+    limit = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > limit:
+            raise TimeoutError(f"waited {timeout_s} s for {what}")
+        await asyncio.sleep(poll_s)
