Route packets, admit requests and speak CoAP and gRPC at the borders

Cause: the data path had a contract but no code. Change: rendezvous owners for buckets, a directory and load book for the owner, admission by slots, queue time and deadline, a retry budget, endpoint weights for cold starts and fast failures, and the border adapters for fabric packets, CoAP and backend servers. Hostile input is counted by reason and dropped. Ruled out: a backend server's load endpoint as a source of placement, since it may lag or mislead; agents' own queues are fresh and ride on packets. Conclusion: the parts stand alone; no role runs yet.

--- a/src/lentilfork/admission/__init__.py
+++ b/src/lentilfork/admission/__init__.py
@@ -1,1 +1,15 @@
-"""Limits: slots, queue, deadlines, retry budget and hedging."""
+"""Limits: slots, queue, deadlines, retry budget and the weight of an endpoint."""
+
+from lentilfork.admission.budget import RetryBudget
+from lentilfork.admission.queue import Refusal
+from lentilfork.admission.queue import RefusalReason
+from lentilfork.admission.queue import SlotQueue
+from lentilfork.admission.weight import EndpointWeight
+
+__all__ = [
+    "EndpointWeight",
+    "Refusal",
+    "RefusalReason",
+    "RetryBudget",
+    "SlotQueue",
+]
--- /dev/null
+++ b/src/lentilfork/admission/queue.py
@@ -0,0 +1,137 @@
+"""Slots of one backend server and the queue in front of them.
+
+A request is refused at once when the queue is full or when it could not begin in
+time; nothing is taken in that would be late. Limits come from the preset in force
+at the moment of each decision, so switching presets needs no restart.
+"""
+
+import asyncio
+import time
+from collections import deque
+from dataclasses import dataclass
+from enum import StrEnum
+from enum import unique
+from typing import Final
+
+from result import Err
+from result import Ok
+from result import Result
+
+from lentilfork.state.model import Preset
+
+__all__ = ["Refusal", "RefusalReason", "SlotQueue"]
+
+SMOOTHING: Final = 0.2
+MINIMUM_COME_BACK_S: Final = 1
+US_PER_S: Final = 1_000_000
+
+
+@unique
+class RefusalReason(StrEnum):
+    """Why a request was not taken in."""
+
+    QUEUE_FULL = "queue-full"
+    QUEUE_TIME = "queue-time"
+    DEADLINE = "deadline"
+    NOT_SERVING = "not-serving"
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A request that was not taken in, and when to come back."""
+
+    reason: RefusalReason
+    come_back_s: int
+
+
+class SlotQueue:
+    """Admits requests to the slots of one backend server, first come first served."""
+
+    slots: int
+    running: int
+    # Requests waiting for a slot, in order of arrival.
+    waiting: deque[asyncio.Future[None]]
+    # Smoothed time of one successful request in its slot; 0: none ended yet.
+    service_time_us: float
+
+    def __init__(self, slots: int) -> None:
+        self.slots = slots
+        self.running = 0
+        self.waiting = deque()
+        self.service_time_us = 0.0
+
+    def predict_wait_s(self) -> float:
+        """Return the expected time until a new request gets a slot."""
+        if self.running < self.slots:
+            return 0.0
+        rounds = (len(self.waiting) + 1) / self.slots
+        return rounds * self.service_time_us / US_PER_S
+
+    def refuse(self, reason: RefusalReason) -> Err[Refusal]:
+        """Return a refusal that tells how long the present queue will take."""
+        wait = max(MINIMUM_COME_BACK_S, round(self.predict_wait_s()))
+        return Err(Refusal(reason, wait))
+
+    def refuse_unavailable(self) -> Err[Refusal]:
+        """Return the refusal of an agent that takes no work at present."""
+        return self.refuse(RefusalReason.NOT_SERVING)
+
+    async def enter(self, deadline: float, limits: Preset) -> Result[None, Refusal]:
+        """Wait for a slot; `deadline` is on the monotonic clock, in seconds.
+
+        On Ok the caller holds a slot and must call `leave`.
+        """
+        now = time.monotonic()
+        wait = self.predict_wait_s()
+        if len(self.waiting) >= limits.queue_per_slot * self.slots:
+            return self.refuse(RefusalReason.QUEUE_FULL)
+        if wait * 1000 > limits.queue_time_ms:
+            return self.refuse(RefusalReason.QUEUE_TIME)
+        if now + wait + self.service_time_us / US_PER_S > deadline:
+            return self.refuse(RefusalReason.DEADLINE)
+        if self.running < self.slots and not self.waiting:
+            self.running += 1
+            return Ok(None)
+        return await self.wait_for_slot(
+            min(deadline - now, limits.queue_time_ms / 1000)
+        )
+
+    async def wait_for_slot(self, timeout_s: float) -> Result[None, Refusal]:
+        """Wait in the queue until a slot is handed over."""
+        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.waiting.append(turn)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await turn
+        except TimeoutError:
+            self.abandon(turn)
+            return self.refuse(RefusalReason.QUEUE_TIME)
+        except asyncio.CancelledError:
+            self.abandon(turn)
+            raise
+        return Ok(None)
+
+    def abandon(self, turn: asyncio.Future[None]) -> None:
+        """Leave the queue, or give back a slot that was handed over meanwhile."""
+        if turn.done() and not turn.cancelled():
+            self.leave()
+        elif turn in self.waiting:
+            self.waiting.remove(turn)
+
+    def leave(self) -> None:
+        """Give the slot to the next in the queue."""
+        while self.waiting:
+            turn = self.waiting.popleft()
+            if not turn.done():
+                turn.set_result(None)
+                return
+        self.running -= 1
+        assert self.running >= 0
+
+    def record_service_time(self, seconds: float) -> None:
+        """Take the time of one successful request into the smoothed value."""
+        sample = seconds * US_PER_S
+        if self.service_time_us == 0:
+            self.service_time_us = sample
+        else:
+            self.service_time_us += SMOOTHING * (sample - self.service_time_us)
--- /dev/null
+++ b/src/lentilfork/admission/weight.py
@@ -0,0 +1,57 @@
+"""Share of its normal work that an endpoint should get.
+
+It grows after a start, so that a cold endpoint warms up, and falls with failures,
+so that one that fails fast does not draw work by looking idle.
+"""
+
+import time
+from typing import Final
+
+__all__ = ["EndpointWeight"]
+
+FULL_PERCENT: Final = 100
+COLD_PERCENT: Final = 20
+MINIMUM_PERCENT: Final = 1
+FAILURE_SMOOTHING: Final = 0.3
+# Failures lose half their worth in this time, so that probes bring it back.
+RECOVERY_HALF_LIFE_S: Final = 5.0
+
+
+class EndpointWeight:
+    """Weight of one endpoint, worked out from its age and its failures."""
+
+    # Monotonic time at which the endpoint began to serve.
+    started_at: float
+    # Smoothed share of failed requests, 0 to 1, as of `failed_at`.
+    failure_share: float
+    failed_at: float
+
+    def __init__(self) -> None:
+        self.started_at = time.monotonic()
+        self.failure_share = 0.0
+        self.failed_at = self.started_at
+
+    def restart(self) -> None:
+        """Begin a new cold start."""
+        self.started_at = time.monotonic()
+
+    def record(self, *, failed: bool) -> None:
+        """Take the outcome of one request."""
+        now = time.monotonic()
+        share = self.decay(now)
+        self.failure_share = share + FAILURE_SMOOTHING * (float(failed) - share)
+        self.failed_at = now
+
+    def decay(self, now: float) -> float:
+        """Return the failure share at `now`."""
+        age = now - self.failed_at
+        return self.failure_share * float(0.5 ** (age / RECOVERY_HALF_LIFE_S))
+
+    def measure_percent(self, cold_start_ms: int) -> int:
+        """Return the present weight, 1 to 100."""
+        now = time.monotonic()
+        age_ms = (now - self.started_at) * 1000
+        warmth = min(1.0, age_ms / cold_start_ms) if cold_start_ms else 1.0
+        warm_percent = COLD_PERCENT + (FULL_PERCENT - COLD_PERCENT) * warmth
+        share = self.decay(now)
+        return max(MINIMUM_PERCENT, round(warm_percent * (1 - share) ** 3))
--- /dev/null
+++ b/src/lentilfork/borders/backends.py
@@ -0,0 +1,172 @@
+"""gRPC towards one backend server: calls, long answers and health.
+
+Each call carries a deadline, and cancelling the task cancels the call. Statuses
+are sorted into what the caller may be told: only RESOURCE_EXHAUSTED, and
+UNAVAILABLE before the call could be sent, say that a request did not run.
+"""
+
+import asyncio
+from dataclasses import dataclass
+from enum import Enum
+from enum import unique
+from typing import Final
+
+import grpc
+import grpc.aio
+from grpc_health.v1 import health_pb2
+from grpc_health.v1 import health_pb2_grpc
+from result import Err
+from result import Ok
+from result import Result
+
+from lentilfork.borders.callers import Answer
+from lentilfork.borders.callers import Request
+from lentilfork.errors import Failure
+from lentilfork.schema import backend_pb2
+from lentilfork.schema import backend_pb2_grpc
+
+__all__ = ["BackendError", "BackendFailure", "BackendServer"]
+
+# A longer answer is refused rather than held in memory.
+MAXIMUM_ANSWER_SIZE: Final = 4 * 1024 * 1024
+HEALTH_RETRY_S: Final = 0.25
+CONTENT_CODE: Final = 69
+
+
+@unique
+class BackendError(Enum):
+    """What a failed call says about the request."""
+
+    # The backend server refused it; it did not run.
+    SHED = "shed"
+    # It ran and failed, or it may have run.
+    FAILED = "failed"
+    # The deadline passed or the connection broke while it ran.
+    UNKNOWN = "unknown"
+    # No connection to the backend server could be made; it did not run.
+    UNREACHABLE = "unreachable"
+
+
+@dataclass(frozen=True, slots=True)
+class BackendFailure:
+    """A failed call with its meaning and where it failed."""
+
+    error: BackendError
+    failure: Failure
+
+
+STATUS_MEANINGS: Final = {
+    grpc.StatusCode.RESOURCE_EXHAUSTED: BackendError.SHED,
+    grpc.StatusCode.UNAVAILABLE: BackendError.UNKNOWN,
+    grpc.StatusCode.DEADLINE_EXCEEDED: BackendError.UNKNOWN,
+    grpc.StatusCode.CANCELLED: BackendError.UNKNOWN,
+}
+
+
+class BackendServer:
+    """The backend server beside this agent."""
+
+    address: str
+    channel: grpc.aio.Channel
+    # Whether its health service says SERVING, as last heard.
+    serving: bool
+    # Set at each change of `serving`.
+    changed: asyncio.Event
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.channel = grpc.aio.insecure_channel(
+            address,
+            options=(
+                ("grpc.enable_http_proxy", 0),
+                ("grpc.enable_retries", 0),
+                ("grpc.initial_reconnect_backoff_ms", 100),
+                ("grpc.max_reconnect_backoff_ms", 500),
+            ),
+        )
+        self.stub: backend_pb2_grpc.BackendServerAsyncStub = (
+            backend_pb2_grpc.BackendServerStub(self.channel)
+        )
+        self.serving = False
+        self.changed = asyncio.Event()
+
+    async def call(
+        self, request: Request, key: bytes, timeout_s: float
+    ) -> Result[Answer, BackendFailure]:
+        """Run a request; `key` is the same for each copy of it."""
+        if not self.is_connected():
+            return self.fail("call", BackendError.UNREACHABLE, "not connected")
+        try:
+            reply = await self.stub.Call(
+                convert_request(request, key), timeout=timeout_s
+            )
+        except grpc.aio.AioRpcError as error:
+            return self.explain("call", error)
+        return Ok(Answer(reply.code, reply.payload, reply.etag))
+
+    async def fetch(
+        self, request: Request, key: bytes, timeout_s: float
+    ) -> Result[Answer, BackendFailure]:
+        """Fetch a long answer whole."""
+        if not self.is_connected():
+            return self.fail("fetch", BackendError.UNREACHABLE, "not connected")
+        parts: list[bytes] = []
+        etag = b""
+        try:
+            call = self.stub.Fetch(convert_request(request, key), timeout=timeout_s)
+            async for part in call:
+                etag = part.etag or etag
+                parts.append(part.payload)
+                if sum(map(len, parts)) > MAXIMUM_ANSWER_SIZE:
+                    call.cancel()
+                    return self.fail("fetch", BackendError.FAILED, "answer too long")
+        except grpc.aio.AioRpcError as error:
+            return self.explain("fetch", error)
+        return Ok(Answer(CONTENT_CODE, b"".join(parts), etag))
+
+    def is_connected(self) -> bool:
+        """Return whether a call would go out now instead of waiting."""
+        state = self.channel.get_state(try_to_connect=True)
+        return state is grpc.ChannelConnectivity.READY
+
+    def explain(self, step: str, error: grpc.aio.AioRpcError) -> Err[BackendFailure]:
+        """Return the failure that a gRPC status stands for."""
+        meaning = STATUS_MEANINGS.get(error.code(), BackendError.FAILED)
+        return self.fail(step, meaning, f"{error.code().name}: {error.details()}")
+
+    def fail(self, step: str, error: BackendError, text: str) -> Err[BackendFailure]:
+        """Return a failure of a step against this backend server."""
+        return Err(BackendFailure(error, Failure(step, self.address, text)))
+
+    async def watch_health(self) -> None:
+        """Follow the health service for ever; reconnects after a break."""
+        stub = health_pb2_grpc.HealthStub(self.channel)
+        while True:
+            try:
+                async for reply in stub.Watch(health_pb2.HealthCheckRequest()):
+                    serving = health_pb2.HealthCheckResponse.SERVING
+                    self.note_health(serving=reply.status == serving)
+            except grpc.aio.AioRpcError:
+                self.note_health(serving=False)
+            await asyncio.sleep(HEALTH_RETRY_S)
+
+    def note_health(self, *, serving: bool) -> None:
+        """Take a health report; wakes those who wait for a change."""
+        if serving != self.serving:
+            self.serving = serving
+            self.changed.set()
+
+    async def close(self) -> None:
+        """Close the connection at once."""
+        await self.channel.close(None)
+
+
+def convert_request(request: Request, key: bytes) -> backend_pb2.BackendRequest:
+    """Return the message of a request."""
+    return backend_pb2.BackendRequest(
+        method=request.method,
+        path="/" + "/".join(request.path),
+        query=request.query,
+        payload=request.payload,
+        request_key=key,
+    )
--- /dev/null
+++ b/src/lentilfork/borders/packets.py
@@ -0,0 +1,97 @@
+"""Packets of the fabric: whole IPv4 packets with UDP inside, one in a datagram.
+
+The fabric sends GUE variant 1 (RFC draft form in which the IP header itself is
+the first byte), so a datagram's payload is the packet. Anything else is refused
+with the reason to count. Nothing above the UDP header is looked at here.
+"""
+
+import socket
+from dataclasses import dataclass
+from typing import Final
+
+import dpkt
+
+from lentilfork.errors import DropReason
+
+__all__ = ["Packet", "SocketPair", "build_packet", "parse_packet"]
+
+MINIMUM_SIZE: Final = 28
+# Largest packet a balancer can wrap in an envelope and still send as one datagram.
+MAXIMUM_SIZE: Final = 65_000
+IPV4_VERSION: Final = 4
+MORE_FRAGMENTS_AND_OFFSET: Final = 0x3FFF
+
+
+@dataclass(frozen=True, slots=True)
+class SocketPair:
+    """Both ends of a flow: addresses as 4 network-order bytes, UDP ports."""
+
+    caller_address: bytes
+    caller_port: int
+    service_address: bytes
+    service_port: int
+
+    def caller_key(self) -> bytes:
+        """Return 6 bytes that identify the caller's socket."""
+        return self.caller_address + self.caller_port.to_bytes(2, "big")
+
+    def flow_key(self) -> bytes:
+        """Return 12 bytes that identify the flow."""
+        return (
+            self.caller_key()
+            + self.service_address
+            + self.service_port.to_bytes(2, "big")
+        )
+
+    def describe_caller(self) -> str:
+        """Return the caller's socket as "ip:port"."""
+        return f"{socket.inet_ntoa(self.caller_address)}:{self.caller_port}"
+
+
+@dataclass(frozen=True, slots=True)
+class Packet:
+    """A caller's packet: its flow and the UDP payload."""
+
+    pair: SocketPair
+    payload: bytes
+
+
+def parse_packet(data: bytes) -> Packet | DropReason:
+    """Return the caller's packet in a datagram, or why it must be dropped."""
+    if len(data) < MINIMUM_SIZE:
+        return DropReason.TRUNCATED
+    if len(data) > MAXIMUM_SIZE:
+        return DropReason.OVERSIZED
+    if data[0] >> 4 != IPV4_VERSION:
+        return DropReason.NOT_IPV4
+    if data[9] != dpkt.ip.IP_PROTO_UDP:
+        return DropReason.NOT_UDP
+    if int.from_bytes(data[6:8], "big") & MORE_FRAGMENTS_AND_OFFSET:
+        return DropReason.FRAGMENT
+    if int.from_bytes(data[2:4], "big") != len(data):
+        return DropReason.TRUNCATED
+    try:
+        ip = dpkt.ip.IP(data)
+    except (dpkt.UnpackError, ValueError):
+        return DropReason.TRUNCATED
+    udp = ip.data
+    if not isinstance(udp, dpkt.udp.UDP) or udp.ulen != len(udp):
+        return DropReason.TRUNCATED
+    pair = SocketPair(ip.src, udp.sport, ip.dst, udp.dport)
+    return Packet(pair, bytes(udp.data))
+
+
+def build_packet(pair: SocketPair, payload: bytes, *, to_caller: bool) -> bytes:
+    """Return the IPv4 packet of one datagram on a flow, in either direction."""
+    ends = [
+        (pair.caller_address, pair.caller_port),
+        (pair.service_address, pair.service_port),
+    ]
+    if to_caller:
+        ends.reverse()
+    (source, source_port), (target, target_port) = ends
+    udp = dpkt.udp.UDP(sport=source_port, dport=target_port, data=payload)
+    udp.ulen = len(udp)
+    ip = dpkt.ip.IP(src=source, dst=target, p=dpkt.ip.IP_PROTO_UDP, data=udp)
+    ip.len = len(ip)
+    return bytes(ip)
--- /dev/null
+++ b/src/lentilfork/dispatcher.py
@@ -0,0 +1,290 @@
+"""Owner's side of an agent: decides which agent serves each packet.
+
+Takes envelopes from balancers and other agents. Packets of buckets owned elsewhere
+are sent on; those of own buckets are placed: copies and later blocks go where
+their exchange or download is served, new requests to the least loaded agent.
+"""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from dataclasses import replace
+from typing import TYPE_CHECKING
+from typing import Final
+
+from google.protobuf.message import DecodeError
+
+from lentilfork.borders.callers import Request
+from lentilfork.borders.callers import Signal
+from lentilfork.borders.callers import encode_reset
+from lentilfork.borders.callers import parse_message
+from lentilfork.borders.packets import Packet
+from lentilfork.borders.packets import build_packet
+from lentilfork.borders.packets import parse_packet
+from lentilfork.errors import DropReason
+from lentilfork.jobs import Job
+from lentilfork.routing import Directory
+from lentilfork.routing import LoadBook
+from lentilfork.routing import LoadReport
+from lentilfork.routing import RoutingTable
+from lentilfork.routing import ServiceRoute
+from lentilfork.routing import choose_agent
+from lentilfork.routing import find_bucket
+from lentilfork.schema import packets_pb2
+from lentilfork.settings import split_address
+from lentilfork.state.model import ClusterState
+
+if TYPE_CHECKING:
+    from lentilfork.counters import Counters
+    from lentilfork.state.model import Agent
+
+__all__ = ["MAXIMUM_HOPS", "Dispatcher"]
+
+MAXIMUM_HOPS: Final = 6
+# Time after a change of agents in which runners tell new owners what they serve.
+SETTLING_S: Final = 0.5
+HOLD_STEP_S: Final = 0.05
+
+SendEnvelope = Callable[[packets_pb2.Envelope, tuple[str, int]], None]
+
+
+class Dispatcher:
+    """Places the packets of the buckets this agent owns."""
+
+    # Name of this agent and of its service.
+    own: str
+    service: str
+    table: RoutingTable
+    directory: Directory
+    loads: LoadBook
+    chance: random.Random
+    # Until then blocks of unknown downloads are held; monotonic seconds.
+    settled_at: float
+
+    def __init__(
+        self,
+        own: str,
+        service: str,
+        counters: "Counters",
+        send: SendEnvelope,
+        answer: Callable[[bytes], None],
+        serve: Callable[[Job], None],
+        measure_load: Callable[[], LoadReport],
+    ) -> None:
+        self.own = own
+        self.service = service
+        self.counters = counters
+        self.send = send
+        self.answer = answer
+        self.serve = serve
+        self.measure_load = measure_load
+        self.table = RoutingTable(ClusterState())
+        self.directory = Directory()
+        self.loads = LoadBook()
+        self.chance = random.Random()
+        self.settled_at = 0.0
+
+    def update(self, old: ClusterState, new: ClusterState) -> None:
+        """Take a new generation into force."""
+        self.table = RoutingTable(new, self.table)
+        agents = {agent.name: agent for agent in new.list_agents(self.service)}
+        self.loads.retain(set(agents))
+        gone = [a for a in old.list_agents(self.service) if a.name not in agents]
+        for agent in gone:
+            self.directory.forget_agent(agent.name)
+        if old.list_agents(self.service) != list(agents.values()):
+            self.settled_at = time.monotonic() + SETTLING_S
+
+    def receive(self, data: bytes, _sender: tuple[str, int]) -> None:
+        """Take one datagram from a balancer or another agent."""
+        try:
+            envelope = packets_pb2.Envelope.FromString(data)
+        except DecodeError:
+            self.drop(DropReason.BAD_ENVELOPE)
+            return
+        if envelope.HasField("load"):
+            self.record_load(envelope.load)
+        if envelope.packet:
+            self.receive_packet(envelope)
+
+    def record_load(self, load: packets_pb2.Load) -> None:
+        """Take what another agent tells of its load."""
+        for key in load.ended:
+            self.loads.record_end(load.agent, key)
+        report = LoadReport(
+            load.agent,
+            load.running,
+            load.queued,
+            load.service_time_us,
+            load.weight_percent,
+            load.sequence,
+        )
+        self.loads.find(load.agent).accept(report, time.monotonic())
+
+    def receive_packet(self, envelope: packets_pb2.Envelope) -> None:
+        """Check a packet, then serve it, place it or send it on."""
+        packet = parse_packet(envelope.packet)
+        if isinstance(packet, DropReason):
+            self.drop(packet)
+            return
+        pair = packet.pair
+        route = self.table.by_address.get((pair.service_address, pair.service_port))
+        if route is None:
+            self.drop(DropReason.UNKNOWN_SERVICE)
+        elif route.service.name != self.service:
+            self.drop(DropReason.WRONG_SERVICE)
+        elif envelope.hops > MAXIMUM_HOPS:
+            self.drop(DropReason.HOP_LIMIT)
+        else:
+            self.route_packet(envelope, packet, route)
+
+    def route_packet(
+        self, envelope: packets_pb2.Envelope, packet: Packet, route: ServiceRoute
+    ) -> None:
+        """Send a packet to its owner, or read and place it here."""
+        if not envelope.placed and envelope.hops < MAXIMUM_HOPS:
+            owner = route.find_owner(find_bucket(packet.pair.flow_key()))
+            if owner is not None and owner.name != self.own:
+                self.forward(envelope, owner)
+                return
+        message = parse_message(packet.payload)
+        if isinstance(message, Request):
+            job = self.make_job(envelope, packet, route, message)
+            self.handle_request(job, route, placed=envelope.placed)
+        elif message is Signal.PING:
+            reset = encode_reset(packet.payload)
+            self.answer(build_packet(packet.pair, reset, to_caller=True))
+        elif isinstance(message, DropReason):
+            self.drop(message)
+        else:
+            self.counters.add("signals", message.value)
+
+    def make_job(
+        self,
+        envelope: packets_pb2.Envelope,
+        packet: Packet,
+        route: ServiceRoute,
+        request: Request,
+    ) -> Job:
+        """Return the job of a request in an envelope."""
+        return Job(
+            service=route.service,
+            pair=packet.pair,
+            request=request,
+            packet=envelope.packet,
+            received_at=time.monotonic() - envelope.elapsed_ms / 1000,
+            hops=envelope.hops,
+            tried=tuple(envelope.tried),
+            placer=envelope.load.agent if envelope.placed else self.own,
+        )
+
+    def handle_request(self, job: Job, route: ServiceRoute, *, placed: bool) -> None:
+        """Serve a request that was placed here, or place it."""
+        if placed or job.hops >= MAXIMUM_HOPS:
+            self.serve(job)
+        else:
+            self.place(job, route)
+
+    def place(self, job: Job, route: ServiceRoute) -> None:
+        """Send a request to the agent that is to serve it."""
+        now = time.monotonic()
+        agents = {agent.name: agent for agent in route.agents}
+        known = self.find_known(job, now)
+        if known is None and job.request.block_number and now < self.settled_at:
+            self.hold(job)
+            return
+        agent = agents.get(known) if known else None
+        if agent is None:
+            agent = self.choose(route, job.tried, now)
+        if agent is None:
+            # No agent may take new work: this one refuses it for all.
+            self.serve(job)
+            return
+        self.record(job, agent.name, now)
+        self.hand_out(job, agent)
+
+    def choose(
+        self, route: ServiceRoute, tried: tuple[str, ...], now: float
+    ) -> "Agent | None":
+        """Return the agent for a new request; None if none may take it."""
+        self.loads.find(self.own).accept(self.measure_load(), now)
+        return choose_agent(route.agents, self.loads, tried, now, self.chance)
+
+    def pass_on(self, job: Job) -> bool:
+        """Send a request that this agent could not serve to another one."""
+        route = self.table.by_id.get(job.service.id)
+        if route is None or job.hops >= MAXIMUM_HOPS:
+            return False
+        now = time.monotonic()
+        tried = (*job.tried, self.own)
+        agent = self.choose(route, tried, now)
+        if agent is None:
+            return False
+        self.directory.record(job.exchange_key, agent.name, now)
+        self.loads.record_placement(agent.name, job.exchange_key, now)
+        self.hand_out(replace(job, tried=tried), agent)
+        return True
+
+    def find_known(self, job: Job, now: float) -> str | None:
+        """Return the agent that serves this exchange or download already."""
+        known = self.directory.find(job.exchange_key, now)
+        if known is None and job.request.block_number:
+            known = self.directory.find(job.download_key, now)
+        return known
+
+    def hold(self, job: Job) -> None:
+        """Look again a little later, when runners have told what they serve."""
+        self.counters.add("held")
+        asyncio.get_running_loop().call_later(HOLD_STEP_S, self.place_again, job)
+
+    def place_again(self, job: Job) -> None:
+        """Place a held request by the table now in force."""
+        route = self.table.by_id.get(job.service.id)
+        if route is not None:
+            self.place(job, route)
+
+    def record(self, job: Job, agent: str, now: float) -> None:
+        """Remember where a request was sent."""
+        self.directory.record(job.exchange_key, agent, now)
+        if job.is_long or job.request.block_number:
+            self.directory.record(job.download_key, agent, now)
+        if not job.request.block_number:
+            self.loads.record_placement(agent, job.exchange_key, now)
+
+    def hand_out(self, job: Job, agent: "Agent") -> None:
+        """Give a placed request to its runner."""
+        if agent.name == self.own:
+            self.counters.add("placed", "own")
+            self.serve(job)
+            return
+        self.counters.add("placed", "other")
+        self.send(
+            make_placed_envelope(job, self.table.generation),
+            split_address(agent.packet_address),
+        )
+
+    def forward(self, envelope: packets_pb2.Envelope, owner: "Agent") -> None:
+        """Send a packet on to the owner of its bucket."""
+        self.counters.add("forwarded")
+        envelope.hops += 1
+        envelope.generation = self.table.generation
+        envelope.ClearField("load")
+        self.send(envelope, split_address(owner.packet_address))
+
+    def drop(self, reason: DropReason) -> None:
+        """Count a packet that goes no further."""
+        self.counters.add("dropped", reason)
+
+
+def make_placed_envelope(job: Job, generation: int) -> packets_pb2.Envelope:
+    """Return the envelope that tells an agent to serve a request."""
+    return packets_pb2.Envelope(
+        service_id=job.service.id,
+        generation=generation,
+        hops=job.hops + 1,
+        packet=job.packet,
+        placed=True,
+        elapsed_ms=int((time.monotonic() - job.received_at) * 1000),
+        tried=job.tried,
+    )
--- /dev/null
+++ b/src/lentilfork/jobs.py
@@ -0,0 +1,59 @@
+"""One request an agent has taken in, with all that is needed to serve it."""
+
+from dataclasses import dataclass
+
+from lentilfork.borders.callers import Request
+from lentilfork.borders.packets import SocketPair
+from lentilfork.routing import download_key
+from lentilfork.routing import exchange_key
+from lentilfork.routing import find_bucket
+from lentilfork.state.model import Service
+
+__all__ = ["Job"]
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """A request on its way through this agent."""
+
+    service: Service
+    pair: SocketPair
+    request: Request
+    # The caller's IPv4 packet, passed on as it is when another agent must serve.
+    packet: bytes
+    # When the first agent received it, seconds of this host's monotonic clock.
+    received_at: float
+    hops: int
+    # Agents that could not serve it.
+    tried: tuple[str, ...]
+    # The agent that placed it here and counts it until it ends.
+    placer: str
+
+    @property
+    def deadline(self) -> float:
+        """Monotonic time by which the caller must have its answer."""
+        return self.received_at + self.service.deadline_ms / 1000
+
+    @property
+    def exchange_key(self) -> bytes:
+        """Key of this message and its copies."""
+        return exchange_key(
+            self.pair.caller_key(), self.request.message_id, self.request.token
+        )
+
+    @property
+    def download_key(self) -> bytes:
+        """Key of the block-wise answer this request belongs to."""
+        target = f"{self.request.method} {self.request.target}"
+        return download_key(self.pair.caller_key(), target)
+
+    @property
+    def bucket(self) -> int:
+        """Routing bucket of the flow."""
+        return find_bucket(self.pair.flow_key())
+
+    @property
+    def is_long(self) -> bool:
+        """Whether the service serves this path as a long answer."""
+        path = self.request.path
+        return bool(path) and path[0] in self.service.long_paths
--- a/src/lentilfork/routing/__init__.py
+++ b/src/lentilfork/routing/__init__.py
@@ -1,1 +1,23 @@
 """Which agent serves a packet: buckets, owners, directory and placement."""
+
+from lentilfork.routing.buckets import find_bucket
+from lentilfork.routing.directory import Directory
+from lentilfork.routing.directory import download_key
+from lentilfork.routing.directory import exchange_key
+from lentilfork.routing.loads import LoadBook
+from lentilfork.routing.loads import LoadReport
+from lentilfork.routing.placement import choose_agent
+from lentilfork.routing.table import RoutingTable
+from lentilfork.routing.table import ServiceRoute
+
+__all__ = [
+    "Directory",
+    "LoadBook",
+    "LoadReport",
+    "RoutingTable",
+    "ServiceRoute",
+    "choose_agent",
+    "download_key",
+    "exchange_key",
+    "find_bucket",
+]
--- /dev/null
+++ b/src/lentilfork/routing/buckets.py
@@ -0,0 +1,38 @@
+"""Buckets of flows and the agent that owns each.
+
+Every process derives the same owner from the same generation: rendezvous hashing
+gives each bucket to the live agent with the highest score, so a change of one
+agent moves only that agent's share.
+"""
+
+from collections.abc import Sequence
+from typing import Final
+
+import xxhash
+
+from lentilfork.state.model import Agent
+
+__all__ = ["BUCKETS", "find_bucket", "rank_agents", "score_agent"]
+
+BUCKETS: Final = 256
+
+
+def find_bucket(flow_key: bytes) -> int:
+    """Return the bucket of a flow, 0 to BUCKETS - 1."""
+    return xxhash.xxh3_64_intdigest(flow_key) % BUCKETS
+
+
+def score_agent(agent: Agent, bucket: int) -> int:
+    """Return the rendezvous score of an agent for a bucket."""
+    return xxhash.xxh3_64_intdigest(agent.name.encode(), seed=bucket)
+
+
+def rank_agents(agents: Sequence[Agent], bucket: int) -> list[Agent]:
+    """Return the agents in the order in which they would own the bucket.
+
+    Draining agents come last, so that they own nothing while others live.
+    """
+    return sorted(
+        agents,
+        key=lambda agent: (agent.draining, -score_agent(agent, bucket), agent.name),
+    )
--- /dev/null
+++ b/src/lentilfork/routing/directory.py
@@ -0,0 +1,86 @@
+"""Directory of an owner: which agent serves an exchange or a block-wise answer.
+
+Keys are opaque bytes made by `exchange_key` and `download_key`. Entries expire
+after a time without use and are bounded in number; losing one costs an extra
+execution of an idempotent request or one more fetch, never a wrong answer.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Final
+
+import xxhash
+
+__all__ = ["Directory", "download_key", "exchange_key"]
+
+# A caller sends the last copy of a message this long after the first (RFC 7252,
+# MAX_TRANSMIT_WAIT).
+ENTRY_LIFETIME_S: Final = 93.0
+MAXIMUM_ENTRIES: Final = 100_000
+
+
+def exchange_key(caller_key: bytes, message_id: int, token: bytes) -> bytes:
+    """Return the key of one message of a caller and its copies.
+
+    The token is part of it, since a busy caller may use a message id again while
+    the earlier exchange is still remembered.
+    """
+    return b"x" + caller_key + message_id.to_bytes(2, "big") + token
+
+
+def download_key(caller_key: bytes, target: str) -> bytes:
+    """Return the key of a block-wise answer; `target` is its path and query."""
+    return b"d" + caller_key + xxhash.xxh3_64_digest(target.encode())
+
+
+@dataclass(slots=True)
+class Entry:
+    """Where one exchange or download is served."""
+
+    agent: str
+    used_at: float
+
+
+class Directory:
+    """Placements known to one owner, least recently used first."""
+
+    entries: OrderedDict[bytes, Entry]
+
+    def __init__(self) -> None:
+        self.entries = OrderedDict()
+
+    def find(self, key: bytes, now: float) -> str | None:
+        """Return the agent that serves `key`, if it is known."""
+        entry = self.entries.get(key)
+        if entry is None or now - entry.used_at > ENTRY_LIFETIME_S:
+            return None
+        entry.used_at = now
+        self.entries.move_to_end(key)
+        return entry.agent
+
+    def record(self, key: bytes, agent: str, now: float) -> None:
+        """Remember where `key` is served; forgets what expired."""
+        self.entries[key] = Entry(agent, now)
+        self.entries.move_to_end(key)
+        self.forget_old(now)
+
+    def record_all(self, keys: Iterable[bytes], agent: str, now: float) -> None:
+        """Remember what a runner says it serves."""
+        for key in keys:
+            self.record(key, agent, now)
+
+    def forget_agent(self, agent: str) -> None:
+        """Drop all that an agent that is gone has served."""
+        gone = [key for key, entry in self.entries.items() if entry.agent == agent]
+        for key in gone:
+            del self.entries[key]
+
+    def forget_old(self, now: float) -> None:
+        """Drop expired entries and those above the bound."""
+        while self.entries:
+            key, entry = next(iter(self.entries.items()))
+            expired = now - entry.used_at > ENTRY_LIFETIME_S
+            if not expired and len(self.entries) <= MAXIMUM_ENTRIES:
+                return
+            del self.entries[key]
--- /dev/null
+++ b/src/lentilfork/routing/loads.py
@@ -0,0 +1,120 @@
+"""What an agent knows of the load of the other agents of its service.
+
+Reports ride on packets between agents. Between two reports an agent counts what
+it has placed itself, so that it never sends a burst to one that looked idle.
+A backend server's own load endpoint is not used: it may lag or mislead.
+"""
+
+from dataclasses import dataclass
+from typing import Final
+
+__all__ = ["LoadBook", "LoadReport"]
+
+DEFAULT_SERVICE_TIME_US: Final = 20_000
+MINIMUM_WEIGHT_PERCENT: Final = 1
+# A placement whose end was never reported stops counting after this time.
+PLACEMENT_LIFETIME_S: Final = 10.0
+# What others placed, as heard in a report, loses half its worth in this time.
+FOREIGN_HALF_LIFE_S: Final = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Load of one agent as it stated it."""
+
+    agent: str
+    running: int
+    queued: int
+    # Smoothed time of one request in its slot, microseconds; 0: none ran yet.
+    service_time_us: int
+    # Share of its normal work it should get, 1 to 100.
+    weight_percent: int
+    # Reports of one agent are numbered; older ones are ignored.
+    sequence: int
+
+
+class AgentLoad:
+    """Load of one agent as seen from here."""
+
+    report: LoadReport | None
+    # When the report came, seconds of the monotonic clock.
+    reported_at: float
+    # Work others had placed there when the report was made.
+    foreign: int
+    # Start times of exchanges placed from here that have not ended, by key.
+    placed: dict[bytes, float]
+
+    def __init__(self) -> None:
+        self.report = None
+        self.reported_at = 0.0
+        self.foreign = 0
+        self.placed = {}
+
+    def count_outstanding(self, now: float) -> float:
+        """Return the requests believed to run or wait there."""
+        self.forget_lost(now)
+        age = now - self.reported_at
+        foreign = self.foreign * float(0.5 ** (age / FOREIGN_HALF_LIFE_S))
+        return len(self.placed) + foreign
+
+    def forget_lost(self, now: float) -> None:
+        """Drop placements whose end was never reported."""
+        for key, start in list(self.placed.items()):
+            if now - start < PLACEMENT_LIFETIME_S:
+                break
+            del self.placed[key]
+
+    def accept(self, report: LoadReport, now: float) -> None:
+        """Take a report unless a newer one was taken before."""
+        if self.report is not None and report.sequence <= self.report.sequence:
+            return
+        self.report = report
+        self.reported_at = now
+        self.foreign = max(0, report.running + report.queued - len(self.placed))
+
+
+class LoadBook:
+    """Loads of all agents of one service, by agent name."""
+
+    loads: dict[str, AgentLoad]
+
+    def __init__(self) -> None:
+        self.loads = {}
+
+    def find(self, agent: str) -> AgentLoad:
+        """Return the load of an agent; a new one counts as idle."""
+        return self.loads.setdefault(agent, AgentLoad())
+
+    def retain(self, agents: set[str]) -> None:
+        """Forget agents that are gone."""
+        for name in self.loads.keys() - agents:
+            del self.loads[name]
+
+    def record_placement(self, agent: str, key: bytes, now: float) -> None:
+        """Count an exchange that was placed from here."""
+        self.find(agent).placed[key] = now
+
+    def record_end(self, agent: str, key: bytes) -> None:
+        """Count the end of an exchange that was placed from here."""
+        self.find(agent).placed.pop(key, None)
+
+    def estimate_wait_us(self, agent: str, slots: int, now: float) -> float:
+        """Return the expected time until a new request there has ended."""
+        load = self.find(agent)
+        time_us = self.guess_service_time_us()
+        weight = 100
+        if load.report is not None:
+            time_us = load.report.service_time_us or time_us
+            weight = max(MINIMUM_WEIGHT_PERCENT, load.report.weight_percent)
+        ahead = load.count_outstanding(now)
+        rounds = max(1.0, (ahead + 1) / slots)
+        return rounds * time_us * 100 / weight
+
+    def guess_service_time_us(self) -> float:
+        """Return the mean service time of the agents that reported one."""
+        known = [
+            load.report.service_time_us
+            for load in self.loads.values()
+            if load.report is not None and load.report.service_time_us
+        ]
+        return sum(known) / len(known) if known else DEFAULT_SERVICE_TIME_US
--- /dev/null
+++ b/tests/admission/test_queue.py
@@ -0,0 +1,93 @@
+"""Admission: what would be late is refused at once, and no slot is ever lost."""
+
+import asyncio
+import time
+
+import pytest
+
+from lentilfork.admission import EndpointWeight
+from lentilfork.admission import RefusalReason
+from lentilfork.admission import RetryBudget
+from lentilfork.admission import SlotQueue
+from lentilfork.state.model import Preset
+
+LIMITS = Preset("test", 2, 1000, 10, 0, 1000, 1000, 0)
+
+
+async def fill_slot(queue: SlotQueue, service_time_s: float = 0.2) -> None:
+    queue.record_service_time(service_time_s)
+    assert (await queue.enter(time.monotonic() + 10, LIMITS)).is_ok()
+
+
+@pytest.mark.parametrize(
+    ("service_time_s", "left_s", "reason"),
+    [
+        (2.0, 10, RefusalReason.QUEUE_TIME),
+        (0.2, 0.3, RefusalReason.DEADLINE),
+    ],
+)
+async def test_late_work_is_refused_before_it_waits(
+    service_time_s: float, left_s: float, reason: RefusalReason
+) -> None:
+    queue = SlotQueue(1)
+    await fill_slot(queue, service_time_s)
+    refused = await queue.enter(time.monotonic() + left_s, LIMITS)
+    assert refused.unwrap_err().reason is reason
+    assert not queue.waiting
+
+
+async def test_full_queue_refuses() -> None:
+    queue = SlotQueue(1)
+    await fill_slot(queue)
+    deadline = time.monotonic() + 10
+    waiting = [asyncio.create_task(queue.enter(deadline, LIMITS)) for _ in range(2)]
+    await asyncio.sleep(0)
+    refused = await queue.enter(deadline, LIMITS)
+    assert refused.unwrap_err().reason is RefusalReason.QUEUE_FULL
+    for task in waiting:
+        task.cancel()
+    await asyncio.gather(*waiting, return_exceptions=True)
+
+
+async def test_slot_passes_to_the_next_when_a_waiter_is_cancelled() -> None:
+    queue = SlotQueue(1)
+    await fill_slot(queue)
+    deadline = time.monotonic() + 10
+    first = asyncio.create_task(queue.enter(deadline, LIMITS))
+    second = asyncio.create_task(queue.enter(deadline, LIMITS))
+    await asyncio.sleep(0)
+    # The slot is handed to the first, which is cancelled before it wakes.
+    queue.leave()
+    first.cancel()
+    assert (await second).is_ok()
+    queue.leave()
+    assert queue.running == 0
+
+
+async def test_queue_time_is_bounded_while_the_slot_is_stuck() -> None:
+    queue = SlotQueue(1)
+    await fill_slot(queue, 0.01)
+    limits = Preset("short", 2, 50, 10, 0, 1000, 1000, 0)
+    refused = await queue.enter(time.monotonic() + 10, limits)
+    assert refused.unwrap_err().reason is RefusalReason.QUEUE_TIME
+    queue.leave()
+    assert queue.running == 0
+
+
+def test_retries_stay_within_their_share() -> None:
+    budget = RetryBudget()
+    while budget.spend():
+        pass
+    spent = 0
+    for _ in range(1000):
+        budget.earn(10)
+        spent += budget.spend()
+    assert 90 <= spent <= 100
+
+
+def test_endpoint_that_fails_fast_loses_its_weight() -> None:
+    weight = EndpointWeight()
+    assert weight.measure_percent(0) == 100
+    for _ in range(20):
+        weight.record(failed=True)
+    assert weight.measure_percent(0) == 1
--- /dev/null
+++ b/tests/borders/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the protocols towards the outside."""
--- /dev/null
+++ b/tests/borders/test_callers.py
@@ -0,0 +1,42 @@
+"""CoAP answers: each reaches its own request, whole and of one version."""
+
+import pytest
+from aiocoap.message import Message
+
+from lentilfork.borders.callers import Answer
+from lentilfork.borders.callers import Request
+from lentilfork.borders.callers import encode_answer
+from lentilfork.borders.callers import make_not_run_answer
+
+CONTENT = 69
+
+
+def make_request(block: int = 0, exponent: int = 6) -> Request:
+    return Request(7, b"tok", True, "GET", ("artwork", "p"), (), b"", block, exponent)
+
+
+def test_answer_repeats_message_id_and_token() -> None:
+    message = Message.decode(encode_answer(make_request(), Answer(CONTENT, b"ok")))
+    assert (message.mid, message.token, message.payload) == (7, b"tok", b"ok")
+    assert message.opt.block2 is None
+
+
+@pytest.mark.parametrize("exponent", [0, 4, 6])
+@pytest.mark.parametrize("length", [1, 1023, 1024, 1025, 5000])
+def test_blocks_join_to_the_whole_answer(length: int, exponent: int) -> None:
+    content = bytes(index % 251 for index in range(length))
+    size = 2 ** (exponent + 4)
+    parts = []
+    for block in range(-(-length // size)):
+        request = make_request(block, exponent)
+        message = Message.decode(encode_answer(request, Answer(CONTENT, content, b"e")))
+        parts.append(message.payload)
+        assert message.opt.etag == b"e"
+        more = message.opt.block2.more if message.opt.block2 else False
+        assert more == ((block + 1) * size < length)
+    assert b"".join(parts) == content
+
+
+def test_refusal_says_when_to_come_back() -> None:
+    message = Message.decode(encode_answer(make_request(), make_not_run_answer(3)))
+    assert (str(message.code), message.opt.max_age) == ("5.03 Service Unavailable", 3)
--- /dev/null
+++ b/tests/borders/test_packets.py
@@ -0,0 +1,121 @@
+"""Packets of the fabric: round trips, and hostile input that must only be counted."""
+
+import pytest
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from lentilfork.borders.packets import MAXIMUM_SIZE
+from lentilfork.borders.packets import Packet
+from lentilfork.borders.packets import SocketPair
+from lentilfork.borders.packets import build_packet
+from lentilfork.borders.packets import parse_packet
+from lentilfork.counters import Counters
+from lentilfork.dispatcher import MAXIMUM_HOPS
+from lentilfork.dispatcher import Dispatcher
+from lentilfork.errors import DropReason
+from lentilfork.jobs import Job
+from lentilfork.routing import LoadReport
+from lentilfork.schema import packets_pb2
+from lentilfork.state.model import ClusterState
+from lentilfork.state.model import Service
+
+PAIR = SocketPair(b"\x7f\x00\x00\x09", 40_000, b"\x7f\x00\x00\x01", 5683)
+# A confirmable GET of /warnings/bend-1, message id 1, token "t".
+GET = bytes([0x41, 0x01, 0, 1, ord("t")]) + b"\xb8warnings\x06bend-1"
+GOOD = build_packet(PAIR, GET, to_caller=False)
+
+HOSTILE = {
+    "empty": (b"", DropReason.TRUNCATED),
+    "header only": (GOOD[:20], DropReason.TRUNCATED),
+    "cut in the payload": (GOOD[:-3], DropReason.TRUNCATED),
+    "IPv6": (b"\x60" + GOOD[1:], DropReason.NOT_IPV4),
+    "TCP": (GOOD[:9] + b"\x06" + GOOD[10:], DropReason.NOT_UDP),
+    "fragment": (GOOD[:6] + b"\x20\x00" + GOOD[8:], DropReason.FRAGMENT),
+    "oversized": (GOOD + bytes(MAXIMUM_SIZE), DropReason.OVERSIZED),
+    "UDP length beyond the end": (
+        GOOD[:24] + b"\xff\xff" + GOOD[26:],
+        DropReason.TRUNCATED,
+    ),
+}
+
+
+def make_dispatcher(served: list[Job], counters: Counters) -> Dispatcher:
+    dispatcher = Dispatcher(
+        own="agent-1",
+        service="warnings",
+        counters=counters,
+        send=lambda _envelope, _address: None,
+        answer=lambda _packet: None,
+        serve=served.append,
+        measure_load=lambda: LoadReport("agent-1", 0, 0, 0, 100, 1),
+    )
+    services = [
+        Service(1, "warnings", "127.0.0.1", 5683, 2000, (), 1),
+        Service(2, "artwork", "127.0.0.2", 5683, 2000, ("artwork",), 1),
+    ]
+    state = ClusterState(
+        generation=1, services={service.name: service for service in services}
+    )
+    dispatcher.update(ClusterState(), state)
+    return dispatcher
+
+
+@pytest.mark.parametrize("payload", [b"", GET, bytes(1500)])
+def test_packet_survives_a_round_trip(payload: bytes) -> None:
+    data = build_packet(PAIR, payload, to_caller=False)
+    assert parse_packet(data) == Packet(PAIR, payload)
+
+
+def test_answer_swaps_both_ends() -> None:
+    parsed = parse_packet(build_packet(PAIR, b"x", to_caller=True))
+    assert isinstance(parsed, Packet)
+    assert parsed.pair.service_address == PAIR.caller_address
+    assert parsed.pair.caller_port == PAIR.service_port
+
+
+@pytest.mark.parametrize("case", HOSTILE)
+def test_hostile_packet_is_refused_by_reason(case: str) -> None:
+    data, reason = HOSTILE[case]
+    assert parse_packet(data) is reason
+
+
+@settings(derandomize=True, max_examples=500)
+@given(st.binary(max_size=200), st.integers(0, len(GOOD)))
+def test_no_bytes_crash_the_agent(noise: bytes, cut: int) -> None:
+    counters = Counters()
+    dispatcher = make_dispatcher([], counters)
+    dispatcher.receive(noise, ("127.0.0.9", 1))
+    envelope = packets_pb2.Envelope(packet=GOOD[:cut] + noise)
+    dispatcher.receive(envelope.SerializeToString(), ("127.0.0.9", 1))
+    payload = build_packet(PAIR, noise, to_caller=False)
+    envelope = packets_pb2.Envelope(packet=payload, placed=True)
+    dispatcher.receive(envelope.SerializeToString(), ("127.0.0.9", 1))
+
+
+def test_packet_of_another_service_is_not_served() -> None:
+    served: list[Job] = []
+    counters = Counters()
+    dispatcher = make_dispatcher(served, counters)
+    other = SocketPair(PAIR.caller_address, 40_000, b"\x7f\x00\x00\x02", 5683)
+    for service_id in (1, 2):
+        envelope = packets_pb2.Envelope(
+            service_id=service_id,
+            packet=build_packet(other, GET, to_caller=False),
+            placed=True,
+        )
+        dispatcher.receive(envelope.SerializeToString(), ("127.0.0.9", 1))
+    assert not served
+    assert counters.get("dropped", DropReason.WRONG_SERVICE) == 2
+
+
+@pytest.mark.parametrize("hops", [MAXIMUM_HOPS, MAXIMUM_HOPS + 1, 2**32 - 1])
+def test_forged_hop_count_ends_the_journey(hops: int) -> None:
+    served: list[Job] = []
+    counters = Counters()
+    dispatcher = make_dispatcher(served, counters)
+    envelope = packets_pb2.Envelope(service_id=1, packet=GOOD, hops=hops)
+    dispatcher.receive(envelope.SerializeToString(), ("127.0.0.9", 1))
+    dropped = counters.get("dropped", DropReason.HOP_LIMIT)
+    assert len(served) + dropped == 1
+    assert bool(dropped) == (hops > MAXIMUM_HOPS)
