Publish JSON Schemas of definition files and client settings

The schemas come from the pydantic models by tools/generate.py, which fails its check when a committed one differs.

--- a/tools/generate.py
+++ b/tools/generate.py
@@ -1,7 +1,7 @@
-"""Generate code from the message schemas and the schema of the settings.
+"""Generate code from the message schemas, and the schemas of the JSON files.
 
 Writes the protobuf modules and their type stubs beside the ``.proto`` files and
-the JSON Schema of the settings. With ``--check`` nothing is written: the exit
+the JSON Schemas of settings and definition files. With ``--check`` nothing is written: the exit
 code tells whether the committed files are those the generators would write.
 """
 
@@ -13,15 +13,24 @@
 import tempfile
 from importlib import resources
 from pathlib import Path
+from typing import Any
 
 from grpc_tools import protoc
+from pydantic import TypeAdapter
 
 ROOT = Path(__file__).resolve().parent.parent
 SOURCE = ROOT / "src"
 SCHEMA = SOURCE / "lentilfork" / "schema"
 # The plugins are installed beside the interpreter of the virtual environment.
 PLUGINS = Path(sys.executable).parent
-GENERATED = ("*_pb2.py", "*_pb2.pyi", "*_pb2_grpc.py", "*_pb2_grpc.pyi")
+GENERATED = (
+    "*_pb2.py",
+    "*_pb2.pyi",
+    "*_pb2_grpc.py",
+    "*_pb2_grpc.pyi",
+    "*.schema.json",
+)
+JSON_SCHEMA_DIALECT = "https://json-schema.org/draft/2020-12/schema"
 
 
 def generate_messages(target: Path) -> None:
@@ -44,21 +53,30 @@
         raise SystemExit("generate: protoc failed")
 
 
-def generate_settings_schema(target: Path) -> None:
-    """Write the JSON Schema of the settings file below `target`."""
+def generate_document_schemas(target: Path) -> None:
+    """Write the JSON Schemas of the settings and definition files below `target`."""
+    from lentilfork.cli import CLIENT_ADAPTER
+    from lentilfork.cli import PRESET_ADAPTER
+    from lentilfork.cli import SERVICE_ADAPTER
     from lentilfork.settings import SETTINGS_ADAPTER
 
-    schema = SETTINGS_ADAPTER.json_schema()
-    text = json.dumps(schema, indent=2, sort_keys=True) + "\n"
+    adapters: dict[str, TypeAdapter[Any]] = {
+        "settings": SETTINGS_ADAPTER,
+        "client": CLIENT_ADAPTER,
+        "service": SERVICE_ADAPTER,
+        "preset": PRESET_ADAPTER,
+    }
     folder = target / "lentilfork" / "schema"
     folder.mkdir(parents=True, exist_ok=True)
-    (folder / "settings.schema.json").write_text(text, encoding="utf-8")
+    for name, adapter in adapters.items():
+        schema = {"$schema": JSON_SCHEMA_DIALECT, **adapter.json_schema()}
+        text = json.dumps(schema, indent=2, sort_keys=True) + "\n"
+        (folder / f"{name}.schema.json").write_text(text, encoding="utf-8")
 
 
 def list_generated(folder: Path) -> list[Path]:
     """Return the generated files of a schema folder, sorted by name."""
-    patterns = (*GENERATED, "settings.schema.json")
-    return sorted(path for pattern in patterns for path in folder.glob(pattern))
+    return sorted(path for pattern in GENERATED for path in folder.glob(pattern))
 
 
 def find_stale(fresh: Path) -> list[str]:
@@ -81,7 +99,7 @@
     with tempfile.TemporaryDirectory() as folder:
         target = Path(folder)
         generate_messages(target)
-        generate_settings_schema(target)
+        generate_document_schemas(target)
         fresh = target / "lentilfork" / "schema"
         if arguments.check:
             stale = find_stale(fresh)
