--- a/src/lentilfork/preflight.py
+++ b/src/lentilfork/preflight.py
@@ -8,7 +8,6 @@
 import errno
 import os
 import socket
-import ssl
 import tempfile
 from collections.abc import Iterator
 from contextlib import ExitStack
@@ -17,6 +16,8 @@
 from pathlib import Path
 from typing import Final
 
+from result import Err
+
 from lentilfork.errors import Failure
 from lentilfork.settings import AgentSettings
 from lentilfork.settings import BalancerSettings
@@ -122,18 +123,14 @@
 
 def find_tls_problems(tls: TlsSettings) -> Iterator[str]:
     """Yield what is wrong with the certificate files."""
-    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-    try:
-        context.load_cert_chain(tls.certificate, tls.key)
-    except (OSError, ValueError) as error:
-        yield (
-            f"key tls.certificate, tls.key: {error}; expected a certificate and "
-            "its key in PEM form"
-        )
-    try:
-        context.load_verify_locations(tls.authority)
-    except (OSError, ValueError) as error:
-        yield f"key tls.authority: {error}; expected certificates in PEM form"
+    from lentilfork.certificates import load_certificates
+
+    loaded = load_certificates(tls)
+    if isinstance(loaded, Err):
+        failure = loaded.err_value
+        paths = ((key, str(path)) for key, path in tls if str(path) == failure.peer)
+        key, path = next(paths, ("certificate", failure.peer))
+        yield f"key tls.{key}: {path}: {failure.message}"
 
 
 @singledispatch
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -1,8 +1,9 @@
 """Generate code from the message schemas, and the schemas of the JSON files.
 
 Writes the protobuf modules and their type stubs beside the ``.proto`` files and
-the JSON Schemas of settings and definition files. With ``--check`` nothing is written: the exit
-code tells whether the committed files are those the generators would write.
+the JSON Schemas of settings and definition files. With ``--check`` nothing is
+written: the exit code tells whether the committed files are those the generators
+would write.
 """
 
 import argparse
