--- a/src/lentilfork/daemon.py
+++ b/src/lentilfork/daemon.py
@@ -10,11 +10,17 @@
 import asyncio
 import signal
 import sys
+from collections.abc import AsyncIterator
 from collections.abc import Sequence
+from contextlib import asynccontextmanager
 from functools import singledispatch
 from pathlib import Path
 from typing import Final
 
+from result import Err
+from result import Ok
+from result import Result
+
 from lentilfork import VERSION
 from lentilfork.errors import ExitCode
 from lentilfork.errors import Failure
@@ -106,23 +112,43 @@
             raise error
 
 
+@asynccontextmanager
+async def serve_metrics(
+    settings: CommonSettings, role: Role
+) -> AsyncIterator[Result[None, Failure]]:
+    """Serve metrics while the context lasts, if the settings ask for it."""
+    if settings.metrics is None:
+        yield Ok(None)
+        return
+    from lentilfork.metrics import MetricsServer
+
+    server = MetricsServer(settings, role)
+    started = server.start()
+    try:
+        yield started
+    finally:
+        if started.is_ok():
+            await server.close()
+
+
 async def run_role(settings: CommonSettings) -> ExitCode:
     """Run the role of these settings until a signal; returns the exit code."""
     signals = StopSignals()
     signals.install()
     role = make_role(settings)
-    started = await role.start()
-    if started.is_err():
-        report(started.unwrap_err())
-        return ExitCode.USAGE
-    LOG.info("started", address=settings.control_address)
-    try:
-        await signals.graceful.wait()
-        LOG.info("draining")
-        await signals.drain(role)
-    finally:
-        await asyncio.wait_for(role.stop(), STOP_TIMEOUT_S)
-    LOG.info("stopped")
+    async with serve_metrics(settings, role) as served:
+        started = served if served.is_err() else await role.start()
+        if isinstance(started, Err):
+            report(started.err_value)
+            return ExitCode.USAGE
+        LOG.info("started", address=settings.control_address)
+        try:
+            await signals.graceful.wait()
+            LOG.info("draining")
+            await signals.drain(role)
+        finally:
+            await asyncio.wait_for(role.stop(), STOP_TIMEOUT_S)
+        LOG.info("stopped")
     return ExitCode.OK
 
 
@@ -152,10 +178,10 @@
     """Run the daemon; returns its exit code."""
     options = parse_arguments(arguments)
     loaded = load_settings(options.settings)
-    if loaded.is_err():
-        report(loaded.unwrap_err())
+    if isinstance(loaded, Err):
+        report(loaded.err_value)
         return ExitCode.USAGE
-    settings = loaded.unwrap()
+    settings = loaded.ok_value
     problem = check_host(settings, options.settings)
     if problem is not None:
         report(problem)
--- a/src/lentilfork/roles.py
+++ b/src/lentilfork/roles.py
@@ -15,6 +15,10 @@
 
     counters: Counters
 
+    @property
+    def generation(self) -> int:
+        """Generation of the agreed state in force here."""
+
     async def start(self) -> Result[None, Failure]:
         """Bind the sockets and starts the tasks; a failure leaves nothing open."""
 
