--- a/src/lentilfork/admission/queue.py
+++ b/src/lentilfork/admission/queue.py
@@ -76,25 +76,29 @@
         """Return the refusal of an agent that takes no work at present."""
         return self.refuse(RefusalReason.NOT_SERVING)
 
+    def find_refusal(self, deadline: float, limits: Preset) -> RefusalReason | None:
+        """Return why a new request would be refused now; None if it would not."""
+        wait = self.predict_wait_s()
+        if len(self.waiting) >= limits.queue_per_slot * self.slots:
+            return RefusalReason.QUEUE_FULL
+        if wait * 1000 > limits.queue_time_ms:
+            return RefusalReason.QUEUE_TIME
+        end = time.monotonic() + wait + self.service_time_us / US_PER_S
+        return RefusalReason.DEADLINE if end > deadline else None
+
     async def enter(self, deadline: float, limits: Preset) -> Result[None, Refusal]:
         """Wait for a slot; `deadline` is on the monotonic clock, in seconds.
 
         On Ok the caller holds a slot and must call `leave`.
         """
-        now = time.monotonic()
-        wait = self.predict_wait_s()
-        if len(self.waiting) >= limits.queue_per_slot * self.slots:
-            return self.refuse(RefusalReason.QUEUE_FULL)
-        if wait * 1000 > limits.queue_time_ms:
-            return self.refuse(RefusalReason.QUEUE_TIME)
-        if now + wait + self.service_time_us / US_PER_S > deadline:
-            return self.refuse(RefusalReason.DEADLINE)
+        reason = self.find_refusal(deadline, limits)
+        if reason is not None:
+            return self.refuse(reason)
         if self.running < self.slots and not self.waiting:
             self.running += 1
             return Ok(None)
-        return await self.wait_for_slot(
-            min(deadline - now, limits.queue_time_ms / 1000)
-        )
+        left_s = deadline - time.monotonic()
+        return await self.wait_for_slot(min(left_s, limits.queue_time_ms / 1000))
 
     async def wait_for_slot(self, timeout_s: float) -> Result[None, Refusal]:
         """Wait in the queue until a slot is handed over."""
--- /dev/null
+++ b/src/lentilfork/balancer.py
@@ -0,0 +1,147 @@
+"""The balancer: takes any packet of the fabric and sends it to its owner.
+
+It keeps no state about flows. From the service's address and the flow's hash it
+works out the owner of the bucket and sends the packet there in an envelope; it
+looks at nothing above the UDP header.
+"""
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+from typing import Final
+
+from result import Err
+from result import Result
+
+from lentilfork.borders.datagrams import DatagramSocket
+from lentilfork.borders.packets import parse_packet
+from lentilfork.errors import DropReason
+from lentilfork.errors import Failure
+from lentilfork.member import Member
+from lentilfork.routing import RoutingTable
+from lentilfork.routing import find_bucket
+from lentilfork.schema import control_pb2
+from lentilfork.schema import packets_pb2
+from lentilfork.schema import state_pb2
+from lentilfork.settings import split_address
+from lentilfork.state.model import ClusterState
+
+if TYPE_CHECKING:
+    from lentilfork.settings import BalancerSettings
+
+__all__ = ["BalancerRole"]
+
+# On leaving, packets are forwarded until none has come for this long.
+QUIET_S: Final = 1.0
+LONGEST_DRAIN_S: Final = 30.0
+POLL_S: Final = 0.1
+
+
+class BalancerRole:
+    """An entry host's process."""
+
+    settings: "BalancerSettings"
+    member: Member
+    packets: DatagramSocket
+    table: RoutingTable
+    # Socket addresses of agents by "ip:port", so that they are parsed once.
+    targets: dict[str, tuple[str, int]]
+    # Monotonic time of the last packet.
+    last_packet_at: float
+    leaving: bool
+
+    def __init__(self, settings: "BalancerSettings") -> None:
+        self.settings = settings
+        self.member = Member(settings, self.make_heartbeat, self.dump)
+        self.counters = self.member.counters
+        self.packets = DatagramSocket(self.receive)
+        self.table = RoutingTable(ClusterState())
+        self.targets = {}
+        self.last_packet_at = 0.0
+        self.leaving = False
+        self.member.feed.subscribe(self.update)
+
+    @property
+    def generation(self) -> int:
+        """Generation of the agreed state in force here."""
+        return self.member.feed.state.generation
+
+    async def start(self) -> Result[None, Failure]:
+        """Bind the sockets and start the feed."""
+        opened = await self.packets.open(self.settings.packet_address)
+        if isinstance(opened, Err):
+            return opened
+        started = await self.member.start(lambda _server: None)
+        if isinstance(started, Err):
+            self.packets.close()
+        return started
+
+    def make_heartbeat(self) -> control_pb2.Heartbeat:
+        """Return what this process announces of itself."""
+        balancer = state_pb2.Balancer(
+            name=self.settings.name,
+            incarnation=self.member.incarnation,
+            data_centre=self.settings.data_centre,
+            control_address=self.settings.control_address,
+        )
+        return control_pb2.Heartbeat(balancer=balancer, leaving=self.leaving)
+
+    def update(self, _old: ClusterState, new: ClusterState) -> None:
+        """Take a new generation into force."""
+        self.table = RoutingTable(new, self.table)
+        self.targets = {
+            agent.packet_address: split_address(agent.packet_address)
+            for agent in new.agents.values()
+        }
+
+    def receive(self, data: bytes, _sender: tuple[str, int]) -> None:
+        """Send one packet of the fabric to the owner of its bucket."""
+        self.last_packet_at = time.monotonic()
+        packet = parse_packet(data)
+        if isinstance(packet, DropReason):
+            self.counters.add("dropped", packet)
+            return
+        pair = packet.pair
+        route = self.table.by_address.get((pair.service_address, pair.service_port))
+        if route is None:
+            self.counters.add("dropped", DropReason.UNKNOWN_SERVICE)
+            return
+        owner = route.find_owner(find_bucket(pair.flow_key()))
+        if owner is None:
+            self.counters.add("dropped", DropReason.NO_AGENT)
+            return
+        envelope = packets_pb2.Envelope(
+            service_id=route.service.id,
+            generation=self.table.generation,
+            packet=data,
+        )
+        self.counters.add("forwarded")
+        self.packets.send(
+            envelope.SerializeToString(), self.targets[owner.packet_address]
+        )
+
+    async def drain(self) -> None:
+        """Forward until the fabric sends nothing more here."""
+        self.leaving = True
+        self.member.feed.announce()
+        started_at = time.monotonic()
+        while time.monotonic() - max(self.last_packet_at, started_at) < QUIET_S:
+            if time.monotonic() - started_at > LONGEST_DRAIN_S:
+                break
+            await asyncio.sleep(POLL_S)
+        await self.member.feed.leave()
+
+    async def stop(self) -> None:
+        """Close everything."""
+        self.packets.close()
+        await self.member.stop()
+
+    def dump(self) -> dict[str, object]:
+        """Return the state of the process as JSON values."""
+        return {
+            **self.member.dump(),
+            "services": sorted(
+                route.service.name for route in self.table.by_id.values()
+            ),
+            "socket_errors": self.packets.errors,
+        }
--- a/src/lentilfork/dispatcher.py
+++ b/src/lentilfork/dispatcher.py
@@ -9,6 +9,7 @@
 import random
 import time
 from collections.abc import Callable
+from collections.abc import Iterable
 from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Final
@@ -24,6 +25,8 @@
 from lentilfork.borders.packets import parse_packet
 from lentilfork.errors import DropReason
 from lentilfork.jobs import Job
+from lentilfork.routing import DOWNLOAD_LIFETIME_S
+from lentilfork.routing import EXCHANGE_LIFETIME_S
 from lentilfork.routing import Directory
 from lentilfork.routing import LoadBook
 from lentilfork.routing import LoadReport
@@ -56,7 +59,9 @@
     own: str
     service: str
     table: RoutingTable
-    directory: Directory
+    # Agents that serve exchanges and downloads of own buckets.
+    exchanges: Directory
+    downloads: Directory
     loads: LoadBook
     chance: random.Random
     # Until then blocks of unknown downloads are held; monotonic seconds.
@@ -80,7 +85,8 @@
         self.serve = serve
         self.measure_load = measure_load
         self.table = RoutingTable(ClusterState())
-        self.directory = Directory()
+        self.exchanges = Directory(EXCHANGE_LIFETIME_S)
+        self.downloads = Directory(DOWNLOAD_LIFETIME_S)
         self.loads = LoadBook()
         self.chance = random.Random()
         self.settled_at = 0.0
@@ -92,7 +98,8 @@
         self.loads.retain(set(agents))
         gone = [a for a in old.list_agents(self.service) if a.name not in agents]
         for agent in gone:
-            self.directory.forget_agent(agent.name)
+            self.exchanges.forget_agent(agent.name)
+            self.downloads.forget_agent(agent.name)
         if old.list_agents(self.service) != list(agents.values()):
             self.settled_at = time.monotonic() + SETTLING_S
 
@@ -221,16 +228,24 @@
         agent = self.choose(route, tried, now)
         if agent is None:
             return False
-        self.directory.record(job.exchange_key, agent.name, now)
+        self.exchanges.record(job.exchange_key, agent.name, now)
         self.loads.record_placement(agent.name, job.exchange_key, now)
         self.hand_out(replace(job, tried=tried), agent)
         return True
 
+    def record_served(
+        self, agent: str, exchanges: Iterable[bytes], downloads: Iterable[bytes]
+    ) -> None:
+        """Remember what a runner says it serves."""
+        now = time.monotonic()
+        self.exchanges.record_all(exchanges, agent, now)
+        self.downloads.record_all(downloads, agent, now)
+
     def find_known(self, job: Job, now: float) -> str | None:
         """Return the agent that serves this exchange or download already."""
-        known = self.directory.find(job.exchange_key, now)
+        known = self.exchanges.find(job.exchange_key, now)
         if known is None and job.request.block_number:
-            known = self.directory.find(job.download_key, now)
+            known = self.downloads.find(job.download_key, now)
         return known
 
     def hold(self, job: Job) -> None:
@@ -246,9 +261,9 @@
 
     def record(self, job: Job, agent: str, now: float) -> None:
         """Remember where a request was sent."""
-        self.directory.record(job.exchange_key, agent, now)
+        self.exchanges.record(job.exchange_key, agent, now)
         if job.is_long or job.request.block_number:
-            self.directory.record(job.download_key, agent, now)
+            self.downloads.record(job.download_key, agent, now)
         if not job.request.block_number:
             self.loads.record_placement(agent, job.exchange_key, now)
 
--- a/src/lentilfork/downloads.py
+++ b/src/lentilfork/downloads.py
@@ -14,14 +14,16 @@
 import xxhash
 
 from lentilfork.borders.callers import Answer
+from lentilfork.jobs import Job
 
 __all__ = ["Downloads"]
 
 # A flow whose caller asks for no further block is over after this time: the time
 # in which a caller would have sent the last copy of its request.
 IDLE_LIFETIME_S: Final = 93.0
-# A flow is taken as running while its caller asked for a block this recently.
-ACTIVE_S: Final = 6.0
+# A flow is taken as running while its caller asked for a block this recently; a
+# caller that lost two messages in a row asks again after 9 s (RFC 7252).
+ACTIVE_S: Final = 12.0
 MAXIMUM_BYTES: Final = 64 * 1024 * 1024
 
 
@@ -30,6 +32,8 @@
     """One flow's answer and how far its caller has come."""
 
     answer: Answer
+    # Key of the exchange whose answer was the first block.
+    exchange: bytes
     # Routing bucket of the flow.
     bucket: int
     used_at: float
@@ -57,11 +61,20 @@
         self.entries.move_to_end(key)
         return download.answer
 
-    def keep(self, key: bytes, bucket: int, target: str, answer: Answer) -> Answer:
+    def find_first(self, key: bytes, exchange: bytes) -> Answer | None:
+        """Return the answer for a copy of the request that began a flow."""
+        download = self.entries.get(key)
+        if download is None or download.exchange != exchange:
+            return None
+        return self.find(key)
+
+    def keep(self, job: Job, answer: Answer) -> Answer:
         """Hold an answer for a flow; returns it, with its bytes shared."""
-        shared = self.share(target, answer)
-        self.entries[key] = Download(shared, bucket, time.monotonic())
-        self.entries.move_to_end(key)
+        shared = self.share(job.request.target, answer)
+        self.entries[job.download_key] = Download(
+            shared, job.exchange_key, job.bucket, time.monotonic()
+        )
+        self.entries.move_to_end(job.download_key)
         self.forget_old()
         return shared
 
--- a/src/lentilfork/errors.py
+++ b/src/lentilfork/errors.py
@@ -29,6 +29,8 @@
     UNKNOWN = 4
     # Accepted, but not in force everywhere within the time given.
     LAGGING = 5
+    # Interrupted by the user while nothing was being changed.
+    INTERRUPTED = 130
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/lentilfork/handover.py
+++ b/src/lentilfork/handover.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import time
 from collections import defaultdict
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
@@ -45,9 +44,9 @@
     ) -> packets_pb2.RegisterReply:
         """Note where running flows are served."""
         if request.service == self.dispatcher.service:
-            keys = (*request.exchanges, *request.downloads)
-            now = time.monotonic()
-            self.dispatcher.directory.record_all(keys, request.agent, now)
+            self.dispatcher.record_served(
+                request.agent, request.exchanges, request.downloads
+            )
         return packets_pb2.RegisterReply()
 
 
@@ -98,9 +97,9 @@
     ) -> None:
         """Tell one owner; tries again after a failure."""
         if owner.name == self.dispatcher.own:
-            keys = (*request.exchanges, *request.downloads)
-            now = time.monotonic()
-            self.dispatcher.directory.record_all(keys, owner.name, now)
+            self.dispatcher.record_served(
+                owner.name, request.exchanges, request.downloads
+            )
             return
         stub = packets_pb2_grpc.RoutingStub(self.channels.get(owner.control_address))
         for _ in range(ATTEMPTS):
--- a/src/lentilfork/jobs.py
+++ b/src/lentilfork/jobs.py
@@ -55,5 +55,6 @@
     @property
     def is_long(self) -> bool:
         """Whether the service serves this path as a long answer."""
-        path = self.request.path
-        return bool(path) and path[0] in self.service.long_paths
+        first = self.request.path[:1]
+        is_named = any(segment in self.service.long_paths for segment in first)
+        return is_named and self.request.method == "GET"
--- /dev/null
+++ b/src/lentilfork/member.py
@@ -0,0 +1,97 @@
+"""What balancers and agents have in common: feed, gRPC server, tasks, dump."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import TYPE_CHECKING
+from typing import Any
+
+import grpc.aio
+from result import Err
+from result import Ok
+from result import Result
+
+from lentilfork.channels import Channels
+from lentilfork.counters import Counters
+from lentilfork.errors import Failure
+from lentilfork.inspection import InspectionService
+from lentilfork.membership.clocks import draw_incarnation
+from lentilfork.membership.feed import Feed
+from lentilfork.schema import admin_pb2_grpc
+from lentilfork.schema import control_pb2
+
+if TYPE_CHECKING:
+    from lentilfork.settings import AgentSettings
+    from lentilfork.settings import BalancerSettings
+
+__all__ = ["Member"]
+
+
+class Member:
+    """A process that follows the controllers."""
+
+    settings: "AgentSettings | BalancerSettings"
+    counters: Counters
+    channels: Channels
+    feed: Feed
+    # Drawn at this start; tells this process from its earlier runs.
+    incarnation: int
+    server: grpc.aio.Server | None
+    tasks: list[asyncio.Task[None]]
+
+    def __init__(
+        self,
+        settings: "AgentSettings | BalancerSettings",
+        make_heartbeat: Callable[[], control_pb2.Heartbeat],
+        dump: Callable[[], dict[str, object]],
+    ) -> None:
+        self.settings = settings
+        self.counters = Counters()
+        self.channels = Channels(settings.tls)
+        self.incarnation = draw_incarnation()
+        self.feed = Feed(
+            settings.controllers, self.channels, self.counters, make_heartbeat
+        )
+        self.inspection = InspectionService(dump, self.counters)
+        self.server = None
+        self.tasks = []
+
+    async def start(
+        self, register: Callable[[grpc.aio.Server], None]
+    ) -> Result[None, Failure]:
+        """Open the gRPC server with the services `register` adds; run the feed."""
+        address = self.settings.control_address
+        try:
+            server = self.channels.make_server(address)
+            admin_pb2_grpc.add_InspectionServicer_to_server(self.inspection, server)
+            register(server)
+            await server.start()
+        except (RuntimeError, OSError) as error:
+            return Err(Failure("open gRPC server", address, str(error)))
+        self.server = server
+        self.run_task(self.feed.run(), "feed")
+        return Ok(None)
+
+    def run_task(self, work: Coroutine[Any, Any, None], name: str) -> None:
+        """Run a task until `stop`."""
+        self.tasks.append(asyncio.create_task(work, name=name))
+
+    async def stop(self) -> None:
+        """End all tasks and close all connections."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        if self.server is not None:
+            await self.server.stop(None)
+        await self.channels.close()
+
+    def dump(self) -> dict[str, object]:
+        """Return the common part of the state as JSON values."""
+        return {
+            "name": self.settings.name,
+            "role": self.settings.role,
+            "data_centre": self.settings.data_centre,
+            "incarnation": self.incarnation,
+            "feed": self.feed.dump(),
+            "counters": self.counters.dump(),
+        }
--- a/src/lentilfork/routing/__init__.py
+++ b/src/lentilfork/routing/__init__.py
@@ -1,6 +1,8 @@
 """Which agent serves a packet: buckets, owners, directory and placement."""
 
 from lentilfork.routing.buckets import find_bucket
+from lentilfork.routing.directory import DOWNLOAD_LIFETIME_S
+from lentilfork.routing.directory import EXCHANGE_LIFETIME_S
 from lentilfork.routing.directory import Directory
 from lentilfork.routing.directory import download_key
 from lentilfork.routing.directory import exchange_key
@@ -11,6 +13,8 @@
 from lentilfork.routing.table import ServiceRoute
 
 __all__ = [
+    "DOWNLOAD_LIFETIME_S",
+    "EXCHANGE_LIFETIME_S",
     "Directory",
     "LoadBook",
     "LoadReport",
--- a/src/lentilfork/routing/directory.py
+++ b/src/lentilfork/routing/directory.py
@@ -12,11 +12,20 @@
 
 import xxhash
 
-__all__ = ["Directory", "download_key", "exchange_key"]
-
+__all__ = [
+    "DOWNLOAD_LIFETIME_S",
+    "EXCHANGE_LIFETIME_S",
+    "Directory",
+    "download_key",
+    "exchange_key",
+]
+
+# Copies of a request that come later are placed anew: claims keep one that may not
+# be repeated from running twice.
+EXCHANGE_LIFETIME_S: Final = 30.0
 # A caller sends the last copy of a message this long after the first (RFC 7252,
 # MAX_TRANSMIT_WAIT).
-ENTRY_LIFETIME_S: Final = 93.0
+DOWNLOAD_LIFETIME_S: Final = 93.0
 MAXIMUM_ENTRIES: Final = 100_000
 
 
@@ -46,14 +55,17 @@
     """Placements known to one owner, least recently used first."""
 
     entries: OrderedDict[bytes, Entry]
+    # Time without use after which an entry is forgotten.
+    lifetime_s: float
 
-    def __init__(self) -> None:
+    def __init__(self, lifetime_s: float) -> None:
+        self.lifetime_s = lifetime_s
         self.entries = OrderedDict()
 
     def find(self, key: bytes, now: float) -> str | None:
         """Return the agent that serves `key`, if it is known."""
         entry = self.entries.get(key)
-        if entry is None or now - entry.used_at > ENTRY_LIFETIME_S:
+        if entry is None or now - entry.used_at > self.lifetime_s:
             return None
         entry.used_at = now
         self.entries.move_to_end(key)
@@ -80,7 +92,7 @@
         """Drop expired entries and those above the bound."""
         while self.entries:
             key, entry = next(iter(self.entries.items()))
-            expired = now - entry.used_at > ENTRY_LIFETIME_S
+            expired = now - entry.used_at > self.lifetime_s
             if not expired and len(self.entries) <= MAXIMUM_ENTRIES:
                 return
             del self.entries[key]
--- a/src/lentilfork/runner.py
+++ b/src/lentilfork/runner.py
@@ -54,8 +54,8 @@
 class OnceRunner(Protocol):
     """Runs a non-idempotent request at most once; see `once.ClaimedRunner`."""
 
-    async def run(self, job: Job, runner: "Runner") -> Answer:
-        """Return the answer for a request that must not run twice."""
+    async def run(self, job: Job, runner: "Runner") -> Answer | None:
+        """Return the answer; None if another agent gives it."""
 
 
 class Runner:
@@ -142,7 +142,11 @@
     def reply(self, job: Job, key: bytes, answer: Answer) -> None:
         """Send an answer to the caller and keep it for copies."""
         data = encode_answer(job.request, answer)
-        self.exchanges.finish(key, data)
+        if job.is_long or job.request.block_number:
+            # A copy is answered from the download.
+            self.exchanges.abandon(key)
+        else:
+            self.exchanges.finish(key, data)
         self.counters.add("answers", str(answer.code))
         self.send(build_packet(job.pair, data, to_caller=True))
 
@@ -150,6 +154,9 @@
         """Return the answer; None if another agent gives it."""
         if job.request.block_number:
             return await self.answer_block(job)
+        begun = self.downloads.find_first(job.download_key, job.exchange_key)
+        if begun is not None:
+            return begun
         if job.request.idempotent:
             answer = await self.run_idempotent(job)
         else:
@@ -161,9 +168,7 @@
         size = min(MAXIMUM_BLOCK_SIZE, 2 ** (job.request.size_exponent + 4))
         if len(answer.payload) <= size:
             return answer
-        return self.downloads.keep(
-            job.download_key, job.bucket, job.request.target, answer
-        )
+        return self.downloads.keep(job, answer)
 
     async def answer_block(self, job: Job) -> Answer | None:
         """Return the answer from which a later block is cut."""
@@ -212,10 +217,19 @@
         self.counters.add("retries", "passed on" if passed else "no agent")
         return passed
 
+    def can_take(self, job: Job) -> bool:
+        """Return whether a request would get a slot in time as things stand."""
+        if not self.may_run() or not self.backend.serving:
+            return False
+        return self.queue.find_refusal(job.deadline, self.limits) is None
+
     async def run_in_slot(
-        self, job: Job, key: bytes
+        self, job: Job, key: bytes, begin: Callable[[], bool] = lambda: True
     ) -> Result[Answer, BackendFailure | Refusal]:
-        """Wait for a slot and call the backend server."""
+        """Wait for a slot and call the backend server.
+
+        `begin` is asked right before the call; if it says no, nothing is run.
+        """
         if not self.may_run() or not self.backend.serving:
             self.counters.add("refused", "not serving")
             return self.queue.refuse_unavailable()
@@ -224,18 +238,18 @@
             self.counters.add("refused", entered.err_value.reason)
             return entered
         try:
-            return await self.call_backend(job, key)
+            return await self.call_backend(job, key, begin)
         finally:
             self.queue.leave()
 
     async def call_backend(
-        self, job: Job, key: bytes
+        self, job: Job, key: bytes, begin: Callable[[], bool]
     ) -> Result[Answer, BackendFailure | Refusal]:
         """Call the backend server within what is left of the deadline."""
         started_at = time.monotonic()
         timeout_s = job.deadline - started_at
         # A process that was stopped may hold a slot long after its lease ended.
-        if timeout_s < MINIMUM_CALL_S or not self.may_run():
+        if timeout_s < MINIMUM_CALL_S or not self.may_run() or not begin():
             return self.queue.refuse_unavailable()
         self.counters.add("calls")
         call = self.backend.fetch if job.is_long else self.backend.call
