--- a/src/lentilfork/channels.py
+++ b/src/lentilfork/channels.py
@@ -2,14 +2,34 @@
 
 One `Channels` object lives in each process: it keeps one channel for each peer
 and opens this process's server, both with or without TLS as the settings say.
+With TLS each side must present a certificate of the settings' authority. When the
+certificate files change, new connections use the new ones and calls under way go
+on undisturbed; so callers take the channel from `get` for each call or stream.
 """
 
+import asyncio
+import inspect
+import time
+from collections import OrderedDict
+from collections import deque
+from collections.abc import Awaitable
+from collections.abc import Callable
 from typing import TYPE_CHECKING
+from typing import Any
 from typing import Final
 
+import grpc
 import grpc.aio
+from result import Err
+from result import Ok
+from result import Result
+
+from lentilfork.counters import Counters
+from lentilfork.errors import Failure
 
 if TYPE_CHECKING:
+    Handler = grpc.RpcMethodHandler[Any, Any]
+    from lentilfork.certificates import Certificates
     from lentilfork.settings import TlsSettings
 
 __all__ = ["Channels"]
@@ -17,6 +37,14 @@
 KEEPALIVE_TIME_MS: Final = 2_000
 KEEPALIVE_TIMEOUT_MS: Final = 2_000
 RECONNECT_BACKOFF_MS: Final = 500
+# How often the certificate files are looked at, at the most.
+CHECK_INTERVAL_S: Final = 1.0
+# Calls on channels with replaced certificates may go on for this long.
+RETIRED_S: Final = 600.0
+# A connection without a call for this long after it was opened was refused.
+HANDSHAKE_TIMEOUT_S: Final = 5.0
+MAXIMUM_PEERS: Final = 16_384
+BEHAVIOURS: Final = ("unary_unary", "unary_stream", "stream_unary", "stream_stream")
 
 CHANNEL_OPTIONS: Final = (
     ("grpc.keepalive_time_ms", KEEPALIVE_TIME_MS),
@@ -38,34 +66,227 @@
 
     # None: plain text.
     tls: "TlsSettings | None"
+    counters: Counters
     # Open channels by "ip:port".
     open: dict[str, grpc.aio.Channel]
+    # Channels with replaced certificates, each with the time to close it at.
+    retired: deque[tuple[float, grpc.aio.Channel]]
+    # In use for new connections; None until first read, and in plain text.
+    certificates: "Certificates | None"
+    # Of the files the certificates were read from.
+    stamp: tuple[tuple[int, int], ...]
+    checked_s: float
+    # Looks at the files while this process has a server.
+    watch: "asyncio.Task[None] | None"
 
-    def __init__(self, tls: "TlsSettings | None" = None) -> None:
+    def __init__(
+        self, tls: "TlsSettings | None" = None, counters: Counters | None = None
+    ) -> None:
         self.tls = tls
+        self.counters = counters or Counters()
         self.open = {}
+        self.retired = deque()
+        self.certificates = None
+        self.stamp = ()
+        self.checked_s = 0.0
+        self.watch = None
+
+    def check(self) -> Result[None, Failure]:
+        """Read the certificates if the settings name any; the failure tells why not."""
+        if self.tls is None:
+            return Ok(None)
+        from lentilfork.certificates import load_certificates
+        from lentilfork.certificates import read_stamp
+
+        self.checked_s = time.monotonic()
+        stamp = read_stamp(self.tls)
+        if stamp == self.stamp and self.certificates is not None:
+            return Ok(None)
+        # Set also when the files are unusable: they are tried once for each change.
+        self.stamp = stamp
+        loaded = load_certificates(self.tls)
+        if isinstance(loaded, Err):
+            self.counters.add("tls.load_failed")
+            return loaded
+        if self.certificates is not None:
+            self.counters.add("tls.reloaded")
+            self.retire()
+        self.certificates = loaded.ok_value
+        return Ok(None)
+
+    def reload(self) -> Result[None, Failure]:
+        """Read the certificate files now; on a failure those in use stay."""
+        self.stamp = ()
+        return self.check()
+
+    def retire(self) -> None:
+        """Let new calls open new connections, those under way keep theirs."""
+        close_at_s = time.monotonic() + RETIRED_S
+        self.retired.extend((close_at_s, channel) for channel in self.open.values())
+        self.open.clear()
+
+    def use_certificates(self) -> "Certificates":
+        """Return the certificates for a new connection; raises RuntimeError."""
+        if time.monotonic() - self.checked_s >= CHECK_INTERVAL_S:
+            checked = self.check()
+            if isinstance(checked, Err) and self.certificates is None:
+                raise RuntimeError(str(checked.err_value))
+        if self.certificates is None:
+            raise RuntimeError("certificates are not loaded")
+        return self.certificates
 
     def get(self, address: str) -> grpc.aio.Channel:
         """Return the channel to a peer; connects on first use."""
+        if self.tls is not None:
+            self.use_certificates()
         channel = self.open.get(address)
         if channel is None:
-            channel = grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
+            channel = self.make_channel(address)
             self.open[address] = channel
         return channel
 
+    def make_channel(self, address: str) -> grpc.aio.Channel:
+        """Return a new channel to a peer."""
+        if self.tls is None:
+            return grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
+        held = self.use_certificates()
+        credentials = grpc.ssl_channel_credentials(
+            held.authority, held.key, held.certificate
+        )
+        return grpc.aio.secure_channel(address, credentials, options=CHANNEL_OPTIONS)
+
     def make_server(self, address: str) -> grpc.aio.Server:
         """Return a server bound to `address`; raises RuntimeError if it is in use."""
-        server = grpc.aio.server(options=SERVER_OPTIONS)
-        server.add_insecure_port(address)
+        if self.tls is None:
+            server = grpc.aio.server(options=SERVER_OPTIONS)
+            server.add_insecure_port(address)
+            return server
+        held = self.use_certificates()
+        gate = HandshakeGate(self)
+        if self.watch is None:
+            self.watch = asyncio.create_task(self.watch_files())
+        server = grpc.aio.server(options=SERVER_OPTIONS, interceptors=(gate,))
+        credentials = grpc.dynamic_ssl_server_credentials(
+            make_configuration(held), gate.fetch, True
+        )
+        server.add_secure_port(address, credentials)
         return server
 
+    async def watch_files(self) -> None:
+        """Look at the certificate files now and then."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            self.check()
+
     async def drop(self, address: str) -> None:
-        """Close the channel to a peer that is gone."""
+        """Close the channel to a peer that is gone, and retired ones in time."""
         channel = self.open.pop(address, None)
         if channel is not None:
             await channel.close(None)
+        while self.retired and self.retired[0][0] < time.monotonic():
+            await self.retired.popleft()[1].close(None)
 
     async def close(self) -> None:
         """Close all channels."""
+        if self.watch is not None:
+            self.watch.cancel()
+            self.watch = None
         for address in list(self.open):
             await self.drop(address)
+        while self.retired:
+            await self.retired.popleft()[1].close(None)
+
+
+def make_configuration(held: "Certificates") -> Any:
+    """Return the certificates in the form a server takes them."""
+    pairs = [(held.key, held.certificate)]
+    return grpc.ssl_server_certificate_configuration(pairs, held.authority)
+
+
+class HandshakeGate(grpc.aio.ServerInterceptor):  # type: ignore[type-arg]
+    """Give each handshake the newest certificates and count the refused ones.
+
+    The library tells of a handshake when it begins and of a peer with its first
+    call. A handshake that no new peer's call follows in time was refused.
+    """
+
+    channels: Channels
+    # When handshakes began that no peer's first call has followed yet.
+    started_s: deque[float]
+    # Peers that have called, the latest last.
+    peers: OrderedDict[str, None]
+    loop: asyncio.AbstractEventLoop
+    # The certificates the server has.
+    used: "Certificates | None"
+
+    def __init__(self, channels: Channels) -> None:
+        self.channels = channels
+        self.started_s = deque(maxlen=MAXIMUM_PEERS)
+        self.peers = OrderedDict()
+        self.loop = asyncio.get_running_loop()
+        self.used = channels.certificates
+
+    def fetch(self) -> Any:
+        """Return new certificates or None; called for a handshake on any thread."""
+        self.loop.call_soon_threadsafe(self.note_handshake)
+        held = self.channels.certificates
+        if held is None or held is self.used:
+            return None
+        self.used = held
+        return make_configuration(held)
+
+    def note_handshake(self) -> None:
+        """Count a handshake, and later whether it was refused."""
+        self.channels.counters.add("tls.handshakes")
+        self.started_s.append(time.monotonic())
+        self.loop.call_later(HANDSHAKE_TIMEOUT_S, self.count_refused)
+
+    def count_refused(self) -> None:
+        """Count handshakes that no call has followed in time."""
+        limit_s = time.monotonic() - HANDSHAKE_TIMEOUT_S
+        while self.started_s and self.started_s[0] <= limit_s:
+            self.started_s.popleft()
+            self.channels.counters.add("tls.refused")
+
+    def note_peer(self, peer: str) -> None:
+        """Take note of a call; the first one of a peer ends its handshake."""
+        if peer in self.peers:
+            self.peers.move_to_end(peer)
+            return
+        self.peers[peer] = None
+        if self.started_s:
+            self.started_s.popleft()
+        if len(self.peers) > MAXIMUM_PEERS:
+            self.peers.popitem(last=False)
+
+    async def intercept_service(
+        self,
+        continuation: Callable[[grpc.HandlerCallDetails], "Awaitable[Handler]"],
+        handler_call_details: grpc.HandlerCallDetails,
+    ) -> "Handler":
+        """Return the call's handler, made to note the peer first."""
+        handler: Any = await continuation(handler_call_details)
+        # None for a method that no service has.
+        found = [kind for kind in BEHAVIOURS if getattr(handler, kind, None)]
+        if found:
+            behaviours = {kind: self.wrap(getattr(handler, kind)) for kind in found}
+            handler = handler._replace(**behaviours)
+        answered: Handler = handler
+        return answered
+
+    def wrap(self, behaviour: Callable[..., Any]) -> Callable[..., Any]:
+        """Return a method of a service that notes its peer first."""
+        if inspect.isasyncgenfunction(behaviour):
+
+            async def generate(request: Any, context: Any) -> Any:
+                self.note_peer(context.peer())
+                async for reply in behaviour(request, context):
+                    yield reply
+
+            return generate
+
+        async def answer(request: Any, context: Any) -> Any:
+            self.note_peer(context.peer())
+            return await behaviour(request, context)
+
+        return answer if inspect.iscoroutinefunction(behaviour) else behaviour
--- a/src/lentilfork/membership/__init__.py
+++ b/src/lentilfork/membership/__init__.py
@@ -1,1 +1,15 @@
-"""Who is part of the system: announcements, leases and the feed of the state."""
+"""Who is in: announcements, leases and the feed of the agreed state."""
+
+from lentilfork.membership.clocks import draw_incarnation
+from lentilfork.membership.clocks import read_clock_ms
+from lentilfork.membership.feed import HEARTBEAT_MS
+from lentilfork.membership.feed import Feed
+from lentilfork.membership.lease import LEASE_MS
+
+__all__ = [
+    "HEARTBEAT_MS",
+    "LEASE_MS",
+    "Feed",
+    "draw_incarnation",
+    "read_clock_ms",
+]
--- /dev/null
+++ b/src/lentilfork/membership/feed.py
@@ -0,0 +1,362 @@
+"""The member's side: heartbeats to the controllers, the agreed state from them.
+
+One task keeps one stream to one controller and moves to another when it fails or
+does not reach the leader. The generation of this process never goes down, whoever
+offers a lower one. A process that starts takes its first generation only when the
+leader has confirmed it, so that a controller that was cut off cannot bring it
+behind what it had before; if no controller reaches a leader for
+`UNCONFIRMED_MS`, the highest generation offered is taken.
+"""
+
+import asyncio
+import contextlib
+import random
+from collections import deque
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+from typing import Final
+
+import grpc.aio
+from result import Err
+
+from lentilfork.channels import Channels
+from lentilfork.counters import Counters
+from lentilfork.logs import Logger
+from lentilfork.membership.clocks import read_clock_ms
+from lentilfork.membership.lease import OwnLease
+from lentilfork.schema import control_pb2
+from lentilfork.schema import control_pb2_grpc
+from lentilfork.state.deltas import apply_delta
+from lentilfork.state.digests import compute_digest
+from lentilfork.state.model import ClusterState
+from lentilfork.state.snapshots import decode_snapshot
+
+__all__ = ["HEARTBEAT_MS", "Feed"]
+
+HEARTBEAT_MS: Final = 250
+# A controller that has brought no acknowledgement for this long is left.
+PATIENCE_MS: Final = 1_000
+MAXIMUM_PATIENCE_MS: Final = 8_000
+# Longest pause before the next attempt; the pause is drawn at random below it.
+FIRST_BACKOFF_MS: Final = 100
+MAXIMUM_BACKOFF_MS: Final = 2_000
+UNCONFIRMED_MS: Final = 5_000
+LEAVE_TIMEOUT_S: Final = 2.0
+KEPT_GENERATIONS: Final = 1_024
+MS_PER_S: Final = 1_000
+
+Listener = Callable[[ClusterState, ClusterState], None]
+log = Logger("feed")
+
+
+class Feed:
+    """Keep this process a member and its state up to date."""
+
+    # Controllers the settings name; those in the agreed state are tried as well.
+    controllers: tuple[str, ...]
+    channels: Channels
+    counters: Counters
+    make_heartbeat: Callable[[], control_pb2.Heartbeat]
+    generator: random.Random
+    # In force at this process.
+    state: ClusterState
+    # Newest state received; ahead of `state` only until the first is confirmed.
+    received: ClusterState
+    lease: OwnLease
+    # Generations that were in force here, oldest first.
+    history: deque[int]
+    # The controller this process is joined to, "" for none.
+    controller: str
+    listeners: list[Listener]
+    ready: asyncio.Event
+    # Set to send a heartbeat at once.
+    due: asyncio.Event
+    # Set when the leader has acknowledged that this member has ended.
+    released: asyncio.Event
+    # Send times of heartbeats that are not acknowledged, by sequence.
+    sent_ms: dict[int, int]
+    sequence: int
+    # In force at the leader when it last acknowledged a heartbeat.
+    acknowledged_generation: int
+    ended: bool
+    want_snapshot: bool
+    # Streams in a row that brought no acknowledgement.
+    failures: int
+    # Controllers to try, the next one last.
+    candidates: list[str]
+
+    def __init__(
+        self,
+        controllers: tuple[str, ...],
+        channels: Channels,
+        counters: Counters,
+        make_heartbeat: Callable[[], control_pb2.Heartbeat],
+        generator: random.Random | None = None,
+    ) -> None:
+        self.controllers = controllers
+        self.channels = channels
+        self.counters = counters
+        self.make_heartbeat = make_heartbeat
+        self.generator = generator or random.Random()
+        self.state = ClusterState()
+        self.received = self.state
+        self.lease = OwnLease(read_clock_ms())
+        self.history = deque([0], maxlen=KEPT_GENERATIONS)
+        self.controller = ""
+        self.listeners = []
+        self.ready = asyncio.Event()
+        self.due = asyncio.Event()
+        self.released = asyncio.Event()
+        self.sent_ms = {}
+        self.sequence = 0
+        self.acknowledged_generation = 0
+        self.ended = False
+        self.want_snapshot = False
+        self.failures = 0
+        self.candidates = []
+
+    @property
+    def lease_holds(self) -> bool:
+        """False from a stop longer than the lease until admitted again.
+
+        A member takes no new work while this is False.
+        """
+        return self.lease.holds(read_clock_ms(), self.state.generation)
+
+    def subscribe(self, listener: Listener) -> None:
+        """Call `listener` with the old and the new state at each generation."""
+        self.listeners.append(listener)
+
+    def announce(self) -> None:
+        """Send a heartbeat at once: something in it has changed."""
+        self.due.set()
+
+    async def wait_ready(self) -> None:
+        """Return once the first generation is in force here."""
+        await self.ready.wait()
+
+    async def leave(self) -> None:
+        """Tell the leader that this member has ended; gives up after 2 s."""
+        self.ended = True
+        self.announce()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.released.wait(), LEAVE_TIMEOUT_S)
+
+    async def run(self) -> None:
+        """Keep joined to a controller; runs until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.watch_clock())
+            group.create_task(self.keep_joined())
+
+    async def watch_clock(self) -> None:
+        """Notice stops of this process, and a first state nobody confirms."""
+        started_ms = read_clock_ms()
+        while True:
+            now_ms = read_clock_ms()
+            if self.lease.tick(now_ms, self.sequence + 1):
+                self.counters.add("feed.lease_voided")
+                log.warning(
+                    "lease is void after a stop", generation=self.received.generation
+                )
+                self.announce()
+            if not self.ready.is_set() and now_ms - started_ms > UNCONFIRMED_MS:
+                self.take_into_force(self.received)
+            await asyncio.sleep(HEARTBEAT_MS / MS_PER_S)
+
+    async def keep_joined(self) -> None:
+        """Join one controller after another."""
+        while True:
+            address = self.choose_controller()
+            acknowledged_ms = self.lease.acknowledged_ms
+            reason = await self.join(address)
+            if self.lease.acknowledged_ms > acknowledged_ms:
+                self.failures = 0
+            self.failures += 1
+            self.counters.add("feed.stream_ended", reason)
+            await asyncio.sleep(self.draw_backoff_s())
+
+    def choose_controller(self) -> str:
+        """Return the next controller; each is tried once a round, in random order."""
+        if not self.candidates:
+            agreed = (
+                controller.control_address
+                for controller in self.received.controllers.values()
+            )
+            known = sorted({*self.controllers, *agreed})
+            self.candidates = self.generator.sample(known, len(known))
+        return self.candidates.pop()
+
+    def draw_backoff_s(self) -> float:
+        """Return the pause before the next attempt."""
+        doubled_ms = FIRST_BACKOFF_MS * 2 ** min(self.failures - 1, 8)
+        limit_ms = min(doubled_ms, MAXIMUM_BACKOFF_MS)
+        return self.generator.uniform(0, limit_ms) / MS_PER_S
+
+    async def join(self, address: str) -> str:
+        """Keep one stream until it fails; return why it ended."""
+        stub = control_pb2_grpc.ControlStub(self.channels.get(address))
+        call = stub.Join(self.make_heartbeats())
+        patience_ms = min(PATIENCE_MS * 2 ** min(self.failures, 8), MAXIMUM_PATIENCE_MS)
+        opened_ms = read_clock_ms()
+        try:
+            async for update in read_updates(call, patience_ms / MS_PER_S):
+                self.join_succeeded(address)
+                self.take_update(update)
+                heard_ms = max(self.lease.acknowledged_ms, opened_ms)
+                if read_clock_ms() - heard_ms > patience_ms:
+                    return "no acknowledgement"
+        except TimeoutError:
+            return "silence"
+        except grpc.aio.AioRpcError as error:
+            return error.code().name.lower()
+        finally:
+            self.controller = ""
+            call.cancel()
+        return "closed"
+
+    def join_succeeded(self, address: str) -> None:
+        """Note the controller that answers."""
+        if self.controller != address:
+            self.controller = address
+            log.info("joined controller", controller=address)
+
+    async def make_heartbeats(self) -> AsyncIterator[control_pb2.Heartbeat]:
+        """Yield one stream's heartbeats: full ones until admitted and on changes."""
+        last_full = b""
+        while True:
+            self.due.clear()
+            heartbeat = self.make_heartbeat()
+            heartbeat.ended = self.ended
+            full = heartbeat.SerializeToString(deterministic=True)
+            if full == last_full and self.lease.admitted:
+                heartbeat = control_pb2.Heartbeat()
+            last_full = full
+            self.number_heartbeat(heartbeat)
+            self.counters.add("control.bytes_out", amount=heartbeat.ByteSize())
+            yield heartbeat
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.due.wait(), HEARTBEAT_MS / MS_PER_S)
+
+    def number_heartbeat(self, heartbeat: control_pb2.Heartbeat) -> None:
+        """Fill in what differs from one heartbeat to the next."""
+        self.sequence += 1
+        heartbeat.sequence = self.sequence
+        heartbeat.generation = self.received.generation
+        heartbeat.want_snapshot = self.want_snapshot
+        self.sent_ms[self.sequence] = read_clock_ms()
+        # One stream's worth of unacknowledged heartbeats is enough.
+        while len(self.sent_ms) > KEPT_GENERATIONS:
+            self.sent_ms.pop(next(iter(self.sent_ms)))
+
+    def take_update(self, update: control_pb2.Update) -> None:
+        """Apply what an update carries and note what it acknowledges."""
+        self.counters.add("control.bytes_in", amount=update.ByteSize())
+        match update.WhichOneof("body"):
+            case "snapshot":
+                self.take_snapshot(update)
+            case "delta":
+                self.take_delta(update)
+            case _:
+                pass
+        self.take_acknowledgement(update)
+        if self.ready.is_set():
+            self.take_into_force(self.received)
+
+    def take_snapshot(self, update: control_pb2.Update) -> None:
+        """Take a whole state unless it is damaged or older than the present one."""
+        state = decode_snapshot(update.snapshot)
+        if compute_digest(state) != update.digest:
+            self.counters.add("feed.refused", "snapshot digest")
+            self.ask_snapshot()
+            return
+        self.want_snapshot = False
+        self.receive(state)
+
+    def take_delta(self, update: control_pb2.Update) -> None:
+        """Apply a delta; a gap or a wrong digest asks for a snapshot."""
+        if update.delta.generation <= self.received.generation:
+            self.counters.add("feed.refused", "lower generation")
+            return
+        applied = apply_delta(self.received, update.delta)
+        if isinstance(applied, Err):
+            self.counters.add("feed.refused", "delta")
+            self.ask_snapshot()
+            return
+        self.receive(applied.ok_value)
+
+    def receive(self, state: ClusterState) -> None:
+        """Keep a state if it is newer than the newest received."""
+        if state.generation > self.received.generation:
+            self.received = state
+        elif state.generation < self.received.generation:
+            self.counters.add("feed.refused", "lower generation")
+
+    def ask_snapshot(self) -> None:
+        """Ask the controller for the whole state with the next heartbeat."""
+        self.want_snapshot = True
+        self.announce()
+
+    def take_acknowledgement(self, update: control_pb2.Update) -> None:
+        """Extend the lease; the leader's word confirms the first state."""
+        if not update.acknowledged:
+            return
+        sent_ms = self.sent_ms.get(update.acknowledged)
+        if sent_ms is None:
+            return
+        self.acknowledged_generation = update.generation
+        self.lease.acknowledge(
+            update.acknowledged, sent_ms, update.admitted, update.generation
+        )
+        for sequence in [key for key in self.sent_ms if key < update.acknowledged]:
+            del self.sent_ms[sequence]
+        if self.ended and not update.admitted:
+            self.released.set()
+        if self.received.generation >= update.generation and not self.ready.is_set():
+            self.take_into_force(self.received)
+
+    def take_into_force(self, state: ClusterState) -> None:
+        """Put a newer state in force and tell the listeners."""
+        old = self.state
+        if state.generation > old.generation:
+            self.state = state
+            self.history.append(state.generation)
+            for listener in self.listeners:
+                self.call_listener(listener, old, state)
+        if state.generation > 0:
+            self.ready.set()
+
+    def call_listener(
+        self, listener: Listener, old: ClusterState, new: ClusterState
+    ) -> None:
+        """Call a listener; its failure must not end the feed."""
+        try:
+            listener(old, new)
+        except Exception:
+            self.counters.add("feed.listener_failed")
+            log.exception("a listener failed", generation=new.generation)
+
+    def dump(self) -> dict[str, object]:
+        """Return the member's state as JSON values."""
+        return {
+            "generation": self.state.generation,
+            "received_generation": self.received.generation,
+            "generations": list(self.history),
+            "controller": self.controller,
+            "controllers": list(self.controllers),
+            "lease_holds": self.lease_holds,
+            "leases_voided": self.lease.voided,
+            "unacknowledged_ms": read_clock_ms() - self.lease.acknowledged_ms,
+            "sequence": self.sequence,
+        }
+
+
+async def read_updates(
+    call: "grpc.aio.StreamStreamCall[control_pb2.Heartbeat, control_pb2.Update]",
+    patience_s: float,
+) -> AsyncIterator[control_pb2.Update]:
+    """Yield updates; raises TimeoutError when none came for `patience_s`."""
+    while True:
+        update = await asyncio.wait_for(call.read(), patience_s)
+        if not isinstance(update, control_pb2.Update):
+            return
+        yield update
--- /dev/null
+++ b/src/lentilfork/membership/hub.py
@@ -0,0 +1,122 @@
+"""Membership on one controller: streams, relay and the leader's loop together."""
+
+import asyncio
+import random
+from typing import Final
+
+import grpc.aio
+
+from lentilfork.channels import Channels
+from lentilfork.counters import Counters
+from lentilfork.membership.clocks import read_clock_ms
+from lentilfork.membership.keeper import Keeper
+from lentilfork.membership.keeper import PlanShards
+from lentilfork.membership.keeper import Propose
+from lentilfork.membership.leadership import Leadership
+from lentilfork.membership.leases import Lease
+from lentilfork.membership.leases import Leases
+from lentilfork.membership.leases import MemberKey
+from lentilfork.membership.relay import Relay
+from lentilfork.membership.service import ControlService
+from lentilfork.membership.sessions import Sessions
+from lentilfork.membership.silence import SilenceLimit
+from lentilfork.schema import control_pb2
+from lentilfork.schema import control_pb2_grpc
+from lentilfork.state.model import Agent
+from lentilfork.state.model import ClusterState
+
+__all__ = ["Hub"]
+
+RELAY_TIMEOUT_S: Final = 0.5
+ORIGIN_BITS: Final = 48
+
+
+class Hub:
+    """The members' side of one controller."""
+
+    leadership: Leadership
+    channels: Channels
+    counters: Counters
+    leases: Leases
+    sessions: Sessions
+    relay: Relay
+    keeper: Keeper
+    service: ControlService
+
+    def __init__(
+        self,
+        name: str,
+        leadership: Leadership,
+        propose: Propose,
+        plan_shards: PlanShards,
+        limit: SilenceLimit,
+        channels: Channels,
+        counters: Counters,
+    ) -> None:
+        self.leadership = leadership
+        self.channels = channels
+        self.counters = counters
+        self.leases = Leases(limit)
+        self.sessions = Sessions(leadership.get_state(), counters)
+        self.relay = Relay(name, self.sessions, self.send_batch, counters)
+        origin = f"{name}/{random.getrandbits(ORIGIN_BITS):x}"
+        self.keeper = Keeper(origin, self.leases, propose, plan_shards, counters)
+        self.service = ControlService(self.sessions, self.keeper, leadership, counters)
+
+    async def run(self) -> None:
+        """Relay heartbeats and keep leases until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.relay.run())
+            group.create_task(self.keeper.run(self.leadership))
+
+    def take_state(self, _old: ClusterState, new: ClusterState) -> None:
+        """Spread a new generation to the members joined here."""
+        self.sessions.take(new)
+
+    async def send_batch(
+        self, batch: control_pb2.HeartbeatBatch
+    ) -> control_pb2.RelayReply | None:
+        """Take a batch to the leader; None if it did not get there."""
+        if self.leadership.leads():
+            return self.keeper.take_batch(batch, self.leadership.get_state())
+        address = self.leadership.find_leader()
+        if not address:
+            return None
+        self.counters.add("control.bytes_out", amount=batch.ByteSize())
+        stub = control_pb2_grpc.ControlStub(self.channels.get(address))
+        try:
+            reply = await stub.RelayHeartbeats(batch, timeout=RELAY_TIMEOUT_S)
+        except grpc.aio.AioRpcError:
+            return None
+        # Another controller leads by now; its address will be known soon.
+        return None if reply.leader else reply
+
+    def dump(self) -> dict[str, object]:
+        """Return members and leases as JSON values."""
+        now_ms = read_clock_ms()
+        return {
+            "generation": self.sessions.spreading.state.generation,
+            "joined": len(self.sessions.sessions),
+            "under_way": sorted(self.keeper.under_way),
+            "members": [
+                describe_lease(key, lease, self.leases, now_ms)
+                for key, lease in sorted(self.leases.leases.items())
+            ]
+            if self.keeper.leading
+            else [],
+        }
+
+
+def describe_lease(
+    key: MemberKey, lease: Lease, leases: Leases, now_ms: int
+) -> dict[str, object]:
+    """Return what a dump tells of one member."""
+    return {
+        "role": key.role,
+        "name": key.name,
+        "incarnation": lease.member.incarnation,
+        "generation": lease.generation,
+        "silent_ms": now_ms - lease.heard_ms,
+        "draining": isinstance(lease.member, Agent) and lease.member.draining,
+        "held_back": key in leases.held_back,
+    }
--- /dev/null
+++ b/src/lentilfork/membership/keeper.py
@@ -0,0 +1,158 @@
+"""The leader's loop: turns leases into changes of the agreed state.
+
+Runs on every controller and acts only while that controller leads. Each member or
+claim shard has one change under way at the most; changes that were not accepted
+are planned anew from the leases on a later tick, so none has to be kept.
+"""
+
+import asyncio
+import itertools
+import time
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+from typing import Final
+
+from lentilfork.counters import Counters
+from lentilfork.logs import Logger
+from lentilfork.membership.clocks import read_clock_ms
+from lentilfork.membership.leadership import Leadership
+from lentilfork.membership.leases import Leases
+from lentilfork.membership.leases import MemberKey
+from lentilfork.membership.relay import RelayReceiver
+from lentilfork.schema import control_pb2
+from lentilfork.schema import state_pb2
+from lentilfork.state.model import ClusterState
+
+__all__ = ["Keeper"]
+
+TICK_S: Final = 0.1
+# Changes under way at once; the log syncs those of one moment together.
+MAXIMUM_UNDER_WAY: Final = 128
+
+# Returns True when the change was accepted.
+Propose = Callable[[state_pb2.Change], Coroutine[Any, Any, bool]]
+# Returns the claim shards to put, from the state and the leases.
+PlanShards = Callable[[ClusterState, Leases], list[state_pb2.ClaimShard]]
+
+log = Logger("membership")
+
+
+class Keeper:
+    """Keep the members of the agreed state in line with their leases."""
+
+    # Unique among controllers and starts; begins each change id.
+    origin: str
+    leases: Leases
+    receiver: RelayReceiver
+    propose: Propose
+    plan_shards: PlanShards
+    counters: Counters
+    leading: bool
+    numbers: "itertools.count[int]"
+    # Changes under way, by what they concern.
+    under_way: dict[str, "asyncio.Task[None]"]
+
+    def __init__(
+        self,
+        origin: str,
+        leases: Leases,
+        propose: Propose,
+        plan_shards: PlanShards,
+        counters: Counters,
+    ) -> None:
+        self.origin = origin
+        self.leases = leases
+        self.receiver = RelayReceiver(leases)
+        self.propose = propose
+        self.plan_shards = plan_shards
+        self.counters = counters
+        self.leading = False
+        self.numbers = itertools.count(1)
+        self.under_way = {}
+
+    async def run(self, leadership: Leadership) -> None:
+        """Tick until cancelled."""
+        try:
+            while True:
+                self.tick(leadership.get_state(), leadership.leads())
+                await asyncio.sleep(TICK_S)
+        finally:
+            for task in self.under_way.values():
+                task.cancel()
+
+    def tick(self, state: ClusterState, leads: bool) -> None:
+        """Plan and start changes if this controller leads."""
+        self.follow(state, leads)
+        if not leads:
+            return
+        now_ms = read_clock_ms()
+        shards = self.plan_shards(state, self.leases)
+        changes = [
+            *self.leases.plan(state, now_ms),
+            *(state_pb2.Change(put_claim_shard=shard) for shard in shards),
+        ]
+        for change in changes:
+            self.begin_change(change, state)
+
+    def follow(self, state: ClusterState, leads: bool) -> None:
+        """Notice that this controller has become leader or no longer leads."""
+        if leads and not self.leading:
+            self.leases.begin(state, read_clock_ms())
+            self.receiver.begin()
+            self.counters.add("leases.begun")
+        self.leading = leads
+
+    def take_batch(
+        self, batch: control_pb2.HeartbeatBatch, state: ClusterState
+    ) -> control_pb2.RelayReply:
+        """Take a batch of heartbeats as the leader."""
+        self.follow(state, True)
+        return self.receiver.take_batch(batch, state, read_clock_ms())
+
+    def begin_change(self, change: state_pb2.Change, state: ClusterState) -> None:
+        """Propose a change unless one for the same object is under way."""
+        subject = name_subject(change)
+        if subject in self.under_way or len(self.under_way) >= MAXIMUM_UNDER_WAY:
+            return
+        change.change_id = f"{self.origin}/{next(self.numbers)}"
+        change.time_ms = time.time_ns() // 1_000_000
+        task = asyncio.create_task(self.make_change(change, state))
+        self.under_way[subject] = task
+        task.add_done_callback(lambda _task: self.under_way.pop(subject, None))
+
+    async def make_change(self, change: state_pb2.Change, state: ClusterState) -> None:
+        """Propose a change and count what became of it."""
+        kind = change.WhichOneof("kind") or ""
+        if not await self.propose(change):
+            self.counters.add("leases.refused", kind)
+            return
+        self.counters.add("leases.changed", kind)
+        log.info(kind.replace("_", " "), subject=name_subject(change))
+        agent = state.agents.get(change.remove_agent.agent)
+        if kind == "remove_agent" and agent is not None:
+            self.count_removal(agent.name, state)
+
+    def count_removal(self, name: str, state: ClusterState) -> None:
+        """Count a removal against the limit if it was for silence."""
+        lease = self.leases.leases.get(MemberKey("agent", name))
+        if lease is None or (not lease.ended and not state.agents[name].draining):
+            self.leases.note_removed(state.agents[name], read_clock_ms())
+
+
+def name_subject(change: state_pb2.Change) -> str:
+    """Return the name of the object a change concerns."""
+    match change.WhichOneof("kind"):
+        case "put_agent":
+            return f"agent/{change.put_agent.name}"
+        case "remove_agent":
+            return f"agent/{change.remove_agent.agent}"
+        case "put_balancer":
+            return f"balancer/{change.put_balancer.name}"
+        case "remove_balancer":
+            return f"balancer/{change.remove_balancer.agent}"
+        case "put_claim_shard":
+            shard = change.put_claim_shard
+            return f"claim shard/{shard.service}/{shard.index}"
+        case _:
+            return ""
--- /dev/null
+++ b/src/lentilfork/membership/leases.py
@@ -0,0 +1,290 @@
+"""The leader's side: who is alive, who must be announced, who is taken out.
+
+Leases are kept by member and incarnation, in memory of the leader only; what
+follows from them becomes agreed by changes. A controller that becomes leader
+grants every member of the state a full lease, so that the loss of a controller
+takes nobody out. A lower incarnation never replaces a higher one whose lease
+holds, so a process that was stopped and replaced stays out when it wakes.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterator
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import replace
+from itertools import chain
+from typing import Final
+
+from lentilfork.membership.lease import LEASE_MS
+from lentilfork.membership.silence import Removal
+from lentilfork.membership.silence import SilenceLimit
+from lentilfork.schema import control_pb2
+from lentilfork.schema import state_pb2
+from lentilfork.state.codec import decode_agent
+from lentilfork.state.codec import decode_balancer
+from lentilfork.state.codec import decode_shard_name
+from lentilfork.state.codec import encode_agent
+from lentilfork.state.codec import encode_balancer
+from lentilfork.state.model import Agent
+from lentilfork.state.model import Balancer
+from lentilfork.state.model import ClusterState
+from lentilfork.state.model import ShardName
+from lentilfork.state.model import Voter
+
+__all__ = ["Lease", "Leases", "MemberKey", "get_key"]
+
+# A member that is in no state and silent for this long is forgotten.
+FORGET_MS: Final = 60_000
+MAXIMUM_MEMBERS: Final = 16_384
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class MemberKey:
+    """Identifies a member apart from its incarnation."""
+
+    # "agent" or "balancer".
+    role: str
+    name: str
+
+
+@dataclass(slots=True)
+class Lease:
+    """What the leader knows of one member."""
+
+    # As the member last announced itself; as in the state until it has.
+    member: Agent | Balancer
+    heard_ms: int
+    # False while only the state tells of this member.
+    announced: bool = False
+    generation: int = 0
+    ended: bool = False
+    # Claim shards the member holds whole, with the epoch.
+    synced: tuple[tuple[ShardName, int], ...] = ()
+
+
+def get_key(member: Agent | Balancer) -> MemberKey:
+    """Return the key of a member."""
+    role = "agent" if isinstance(member, Agent) else "balancer"
+    return MemberKey(role, member.name)
+
+
+def decode_member(heartbeat: control_pb2.Heartbeat) -> Agent | Balancer | None:
+    """Return the member of a full heartbeat, None if there is none."""
+    match heartbeat.WhichOneof("member"):
+        case "agent":
+            agent = decode_agent(heartbeat.agent)
+            draining = agent.draining or heartbeat.leaving
+            return replace(agent, draining=draining, joined=0)
+        case "balancer":
+            return decode_balancer(heartbeat.balancer)
+        case _:
+            return None
+
+
+def decode_synced(texts: list[str]) -> Iterator[tuple[ShardName, int]]:
+    """Yield shard and epoch of each "service/index/epoch"; skips other texts."""
+    for text in texts:
+        name, _, epoch = text.rpartition("/")
+        try:
+            yield decode_shard_name(name), int(epoch)
+        except ValueError:
+            continue
+
+
+def list_members(state: ClusterState) -> Iterator[Agent | Balancer]:
+    """Return all members of a state."""
+    return chain(state.agents.values(), state.balancers.values())
+
+
+def find_member(state: ClusterState, key: MemberKey) -> Agent | Balancer | None:
+    """Return a member of the state, None if it is not in."""
+    if key.role == "agent":
+        return state.agents.get(key.name)
+    return state.balancers.get(key.name)
+
+
+class Leases:
+    """The leases a leader keeps."""
+
+    limit: SilenceLimit
+    leases: dict[MemberKey, Lease]
+    # Agents taken out for silence lately, by service.
+    removals: dict[str, list[Removal]]
+    # Silent agents that the limit keeps in, for the operators.
+    held_back: set[MemberKey]
+
+    def __init__(self, limit: SilenceLimit) -> None:
+        self.limit = limit
+        self.leases = {}
+        self.removals = defaultdict(list)
+        self.held_back = set()
+
+    def begin(self, state: ClusterState, now_ms: int) -> None:
+        """Start a term as leader: every member gets a full lease."""
+        self.leases = {
+            get_key(member): Lease(member, now_ms) for member in list_members(state)
+        }
+        self.removals.clear()
+        self.held_back.clear()
+
+    def announce(
+        self, heartbeat: control_pb2.Heartbeat, now_ms: int
+    ) -> tuple[MemberKey, int] | None:
+        """Take a full heartbeat; return the member's key and incarnation.
+
+        None when it names no member, or when a later incarnation lives.
+        """
+        member = decode_member(heartbeat)
+        if member is None:
+            return None
+        key = get_key(member)
+        held = self.leases.get(key)
+        if held is None and len(self.leases) >= MAXIMUM_MEMBERS:
+            return None
+        if held is not None and self.outlives(held, member, now_ms):
+            return None
+        synced = tuple(decode_synced(list(heartbeat.synced_shards)))
+        self.leases[key] = Lease(
+            member, now_ms, True, heartbeat.generation, heartbeat.ended, synced
+        )
+        return key, member.incarnation
+
+    def outlives(self, held: Lease, member: Agent | Balancer, now_ms: int) -> bool:
+        """Tell whether a later incarnation than `member` holds its lease."""
+        later = held.member.incarnation > member.incarnation
+        return later and now_ms - held.heard_ms <= LEASE_MS
+
+    def renew(
+        self, key: MemberKey, incarnation: int, generation: int | None, now_ms: int
+    ) -> None:
+        """Extend a lease; `generation` is None when it is known only to lag."""
+        lease = self.leases.get(key)
+        if lease is None or lease.member.incarnation != incarnation:
+            return
+        lease.heard_ms = now_ms
+        lease.generation = lease.generation if generation is None else generation
+
+    def is_admitted(
+        self, state: ClusterState, key: MemberKey, incarnation: int
+    ) -> bool:
+        """Tell whether the state holds a member at this incarnation."""
+        member = find_member(state, key)
+        return member is not None and member.incarnation == incarnation
+
+    def is_silent(self, lease: Lease, now_ms: int) -> bool:
+        """Tell whether a lease has run out."""
+        return now_ms - lease.heard_ms > LEASE_MS
+
+    def plan(self, state: ClusterState, now_ms: int) -> list[state_pb2.Change]:
+        """Return the changes that bring the state in line with the leases."""
+        self.track_members(state, now_ms)
+        return [
+            *self.plan_announcements(state, now_ms),
+            *self.plan_endings(state, now_ms),
+            *self.plan_silent(state, now_ms),
+        ]
+
+    def track_members(self, state: ClusterState, now_ms: int) -> None:
+        """Lease members of the state that are new here; forget old strangers."""
+        for member in list_members(state):
+            self.leases.setdefault(get_key(member), Lease(member, now_ms))
+        self.leases = {
+            key: lease
+            for key, lease in self.leases.items()
+            if now_ms - lease.heard_ms < FORGET_MS or find_member(state, key)
+        }
+
+    def plan_announcements(
+        self, state: ClusterState, now_ms: int
+    ) -> Iterator[state_pb2.Change]:
+        """Yield a change for each live member that the state lacks or has otherwise."""
+        for key, lease in self.leases.items():
+            if not lease.announced or lease.ended or self.is_silent(lease, now_ms):
+                continue
+            if not is_same(find_member(state, key), lease.member):
+                yield make_put(lease.member)
+
+    def plan_endings(
+        self, state: ClusterState, now_ms: int
+    ) -> Iterator[state_pb2.Change]:
+        """Yield removals of members that ended, or fell silent while draining."""
+        for key, lease in self.leases.items():
+            if not self.is_admitted(state, key, lease.member.incarnation):
+                continue
+            silent = self.is_silent(lease, now_ms)
+            draining = isinstance(lease.member, Agent) and lease.member.draining
+            if lease.ended or (silent and (draining or key.role == "balancer")):
+                yield make_removal(lease.member)
+
+    def plan_silent(
+        self, state: ClusterState, now_ms: int
+    ) -> Iterator[state_pb2.Change]:
+        """Yield removals of silent agents, as far as the limit allows."""
+        silent_ms = {
+            key.name: lease.heard_ms
+            for key, lease in self.leases.items()
+            if key.role == "agent" and self.is_silent(lease, now_ms)
+        }
+        by_service: dict[str, list[Agent]] = defaultdict(list)
+        for agent in state.agents.values():
+            by_service[agent.service].append(agent)
+        self.held_back = set()
+        for service, agents in by_service.items():
+            yield from self.plan_service(service, agents, silent_ms, now_ms)
+
+    def plan_service(
+        self,
+        service: str,
+        agents: list[Agent],
+        silent_ms: Mapping[str, int],
+        now_ms: int,
+    ) -> Iterator[state_pb2.Change]:
+        """Yield removals of one service's silent agents."""
+        chosen = self.limit.choose_removals(
+            agents, silent_ms, self.removals[service], now_ms
+        )
+        names = {agent.name for agent in chosen}
+        self.held_back.update(
+            get_key(agent)
+            for agent in agents
+            if agent.name in silent_ms and agent.name not in names
+        )
+        yield from map(make_removal, chosen)
+
+    def note_removed(self, agent: Agent, now_ms: int) -> None:
+        """Count an accepted removal for silence against the limit."""
+        self.removals[agent.service] = [
+            *(r for r in self.removals[agent.service] if now_ms - r.at_ms < FORGET_MS),
+            Removal(agent.name, agent.data_centre, now_ms),
+        ]
+
+    def list_synced(self) -> dict[ShardName, dict[Voter, int]]:
+        """Return the epoch each voter has reported as synced, by shard."""
+        reports: dict[ShardName, dict[Voter, int]] = defaultdict(dict)
+        for key, lease in self.leases.items():
+            voter = Voter(key.name, lease.member.incarnation)
+            for name, epoch in lease.synced:
+                reports[name][voter] = epoch
+        return dict(reports)
+
+
+def is_same(held: Agent | Balancer | None, member: Agent | Balancer) -> bool:
+    """Tell whether the state holds a member just as it announces itself."""
+    if isinstance(held, Agent) and isinstance(member, Agent):
+        return replace(held, joined=0) == replace(member, joined=0)
+    return held == member
+
+
+def make_put(member: Agent | Balancer) -> state_pb2.Change:
+    """Return the change that puts a member into the state."""
+    if isinstance(member, Agent):
+        return state_pb2.Change(put_agent=encode_agent(member))
+    return state_pb2.Change(put_balancer=encode_balancer(member))
+
+
+def make_removal(member: Agent | Balancer) -> state_pb2.Change:
+    """Return the change that takes a member out of the state."""
+    voter = state_pb2.Voter(agent=member.name, incarnation=member.incarnation)
+    if isinstance(member, Agent):
+        return state_pb2.Change(remove_agent=voter)
+    return state_pb2.Change(remove_balancer=voter)
--- /dev/null
+++ b/src/lentilfork/membership/service.py
@@ -0,0 +1,50 @@
+"""The Control service of a controller: members' streams and relayed heartbeats."""
+
+from typing import Any
+
+from lentilfork.counters import Counters
+from lentilfork.membership.keeper import Keeper
+from lentilfork.membership.leadership import Leadership
+from lentilfork.membership.sessions import Sessions
+from lentilfork.schema import control_pb2
+from lentilfork.schema import control_pb2_grpc
+
+__all__ = ["ControlService"]
+
+
+class ControlService(control_pb2_grpc.ControlServicer):
+    """Serve members and the other controllers."""
+
+    sessions: Sessions
+    keeper: Keeper
+    leadership: Leadership
+    counters: Counters
+
+    def __init__(
+        self,
+        sessions: Sessions,
+        keeper: Keeper,
+        leadership: Leadership,
+        counters: Counters,
+    ) -> None:
+        self.sessions = sessions
+        self.keeper = keeper
+        self.leadership = leadership
+        self.counters = counters
+
+    # The generated base class gives the signature of an iterator; this library
+    # takes a coroutine that writes to the context as well.
+    async def Join(  # type: ignore[override]  # noqa: N802
+        self, request_iterator: Any, context: Any
+    ) -> None:
+        """Serve one member's stream."""
+        await self.sessions.serve(request_iterator, context)
+
+    async def RelayHeartbeats(  # noqa: N802
+        self, request: control_pb2.HeartbeatBatch, context: Any
+    ) -> control_pb2.RelayReply:
+        """Take a batch as the leader, or tell who leads."""
+        self.counters.add("control.bytes_in", amount=request.ByteSize())
+        if not self.leadership.leads():
+            return control_pb2.RelayReply(leader=self.leadership.find_leader())
+        return self.keeper.take_batch(request, self.leadership.get_state())
--- /dev/null
+++ b/tests/membership/cluster.py
@@ -0,0 +1,243 @@
+"""Controllers without a log of their own, and members, for tests of membership.
+
+The controllers share one replicated state in memory, so that what they agree on is
+given; streams, relays and leases between them are the real ones over gRPC.
+"""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+
+import grpc.aio
+
+from lentilfork.bench.addresses import AddressBlock
+from lentilfork.channels import Channels
+from lentilfork.counters import Counters
+from lentilfork.membership import Feed
+from lentilfork.membership.hub import Hub
+from lentilfork.membership.leadership import Leadership
+from lentilfork.membership.silence import SilenceLimit
+from lentilfork.schema import control_pb2
+from lentilfork.schema import control_pb2_grpc
+from lentilfork.schema import state_pb2
+from lentilfork.state import ReplicatedState
+from lentilfork.state import apply_change
+from lentilfork.state.model import ClusterState
+
+DEADLINE_S = 10.0
+
+
+class SharedLog:
+    """A replicated state that all stand-in controllers see, and who leads."""
+
+    state: ReplicatedState
+    leader: "StandInController | None"
+    controllers: "list[StandInController]"
+
+    def __init__(self) -> None:
+        self.state = ReplicatedState()
+        self.leader = None
+        self.controllers = []
+
+    def apply(self, change: state_pb2.Change) -> state_pb2.ChangeResult:
+        """Apply a change and tell all connected controllers."""
+        self.state, result = apply_change(self.state, change)
+        for controller in self.controllers:
+            controller.follow()
+        return result
+
+    def fill(self, count: int) -> None:
+        """Accept a number of changes of a service."""
+        for _ in range(count):
+            number = self.state.cluster.generation + 1
+            service = state_pb2.Service(
+                name="signs", address="10.9.0.1", port=5683, deadline_ms=2000 + number
+            )
+            result = self.apply(
+                state_pb2.Change(
+                    change_id=f"fill-{number}", operator="ana", apply_service=service
+                )
+            )
+            assert result.outcome == state_pb2.ACCEPTED, result
+
+
+class StandInController:
+    """The membership side of a controller over a shared log."""
+
+    name: str
+    address: str
+    log: SharedLog
+    # What this controller has applied.
+    state: ClusterState
+    # False: cut off from the log and from the leader.
+    connected: bool
+    hub: Hub
+    counters: Counters
+    channels: Channels
+    server: grpc.aio.Server
+    task: "asyncio.Task[None]"
+
+    def __init__(self, name: str, address: str, log: SharedLog) -> None:
+        self.name = name
+        self.address = address
+        self.log = log
+        self.connected = True
+        self.state = log.state.cluster
+        self.counters = Counters()
+        self.channels = Channels()
+        leadership = Leadership(
+            lambda: self.connected and log.leader is self,
+            lambda: log.leader.address if log.leader and self.connected else "",
+            lambda: self.state,
+        )
+        self.hub = Hub(
+            name,
+            leadership,
+            self.propose,
+            lambda _state, _leases: [],
+            SilenceLimit(None),
+            self.channels,
+            self.counters,
+        )
+        log.controllers.append(self)
+
+    def follow(self) -> None:
+        """Apply what the log holds unless cut off."""
+        if self.connected:
+            old, self.state = self.state, self.log.state.cluster
+            self.hub.take_state(old, self.state)
+
+    async def propose(self, change: state_pb2.Change) -> bool:
+        """Apply a change to the shared log."""
+        return self.log.apply(change).outcome == state_pb2.ACCEPTED
+
+    async def start(self) -> None:
+        """Serve members."""
+        self.server = self.channels.make_server(self.address)
+        control_pb2_grpc.add_ControlServicer_to_server(self.hub.service, self.server)
+        await self.server.start()
+        self.task = asyncio.create_task(self.hub.run())
+
+    async def stop(self) -> None:
+        """Break off all streams at once."""
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+        await self.server.stop(None)
+        await self.channels.close()
+        self.log.controllers.remove(self)
+
+
+class Member:
+    """An agent's membership without its work."""
+
+    agent: state_pb2.Agent
+    leaving: bool
+    counters: Counters
+    channels: Channels
+    feed: Feed
+    task: "asyncio.Task[None]"
+
+    def __init__(
+        self,
+        name: str,
+        controllers: tuple[str, ...],
+        incarnation: int = 1,
+        data_centre: str = "kandy-a",
+    ) -> None:
+        self.agent = state_pb2.Agent(
+            name=name,
+            incarnation=incarnation,
+            service="signs",
+            data_centre=data_centre,
+            packet_address="127.0.0.1:1",
+            control_address="127.0.0.1:2",
+            slots=1,
+        )
+        self.leaving = False
+        self.counters = Counters()
+        self.channels = Channels()
+        self.feed = Feed(
+            controllers,
+            self.channels,
+            self.counters,
+            lambda: control_pb2.Heartbeat(agent=self.agent, leaving=self.leaving),
+            random.Random(name),
+        )
+
+    def start(self) -> None:
+        """Join."""
+        self.task = asyncio.create_task(self.feed.run())
+
+    async def stop(self) -> None:
+        """Fall silent."""
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+        await self.channels.close()
+
+
+class Cluster:
+    """Three stand-in controllers and any number of members."""
+
+    block: AddressBlock
+    log: SharedLog
+    controllers: list[StandInController]
+    members: list[Member]
+
+    def __init__(self) -> None:
+        self.block = AddressBlock()
+        self.log = SharedLog()
+        self.controllers = [
+            StandInController(f"control-{n}", self.block.take_address(7000), self.log)
+            for n in range(3)
+        ]
+        self.log.leader = self.controllers[0]
+        self.members = []
+
+    @property
+    def addresses(self) -> tuple[str, ...]:
+        """Addresses of all controllers."""
+        return tuple(controller.address for controller in self.controllers)
+
+    async def add_member(
+        self,
+        name: str,
+        controllers: tuple[str, ...] | None = None,
+        incarnation: int = 1,
+        data_centre: str = "kandy-a",
+    ) -> Member:
+        """Join a member and wait until the state holds it."""
+        member = Member(name, controllers or self.addresses, incarnation, data_centre)
+        self.members.append(member)
+        member.start()
+        await wait_for(lambda: member.feed.lease_holds, f"{name} is admitted")
+        return member
+
+
+@contextlib.asynccontextmanager
+async def run_cluster() -> AsyncIterator[Cluster]:
+    """Run three controllers; stops everything at the end."""
+    cluster = Cluster()
+    for controller in cluster.controllers:
+        await controller.start()
+    try:
+        yield cluster
+    finally:
+        for member in cluster.members:
+            await member.stop()
+        for controller in list(cluster.log.controllers):
+            await controller.stop()
+        cluster.block.close()
+
+
+async def wait_for(
+    condition: Callable[[], object], what: str, deadline_s: float = DEADLINE_S
+) -> float:
+    """Return the seconds until a condition held; fails after the deadline."""
+    loop = asyncio.get_running_loop()
+    started_s = loop.time()
+    while not condition():
+        assert loop.time() - started_s < deadline_s, f"not in time: {what}"
+        await asyncio.sleep(0.01)
+    return loop.time() - started_s
--- /dev/null
+++ b/tests/membership/test_feed.py
@@ -0,0 +1,93 @@
+"""Members join, follow generations, fail over and never go back."""
+
+from lentilfork.schema import control_pb2
+from lentilfork.schema import state_pb2
+from lentilfork.state import compute_digest
+from lentilfork.state import encode_snapshot
+from tests.membership.cluster import Member
+from tests.membership.cluster import run_cluster
+from tests.membership.cluster import wait_for
+
+
+async def test_member_joins_and_follows_by_deltas() -> None:
+    async with run_cluster() as cluster:
+        member = await cluster.add_member("depot-1")
+        assert member.feed.state.agents["depot-1"].incarnation == 1
+        snapshot_bytes = member.counters.get("control.bytes_in")
+        cluster.log.fill(1)
+        await wait_for(
+            lambda: member.feed.state == cluster.log.state.cluster, "in force"
+        )
+        assert member.counters.get("control.bytes_in") - snapshot_bytes < 200
+
+
+async def test_restarted_member_catches_up_after_300_changes_in_one_exchange() -> None:
+    async with run_cluster() as cluster:
+        cluster.log.fill(300)
+        member = await cluster.add_member("depot-1")
+        generations = list(member.feed.history)
+        assert generations[0] == 0
+        assert generations[1] >= 300
+
+
+async def test_member_moves_to_another_controller() -> None:
+    async with run_cluster() as cluster:
+        member = await cluster.add_member("depot-1")
+        joined = next(
+            item
+            for item in cluster.controllers
+            if item.address == member.feed.controller
+        )
+        await joined.stop()
+        if cluster.log.leader is joined:
+            cluster.log.leader = cluster.log.controllers[0]
+        cluster.log.fill(1)
+        await wait_for(
+            lambda: member.feed.state == cluster.log.state.cluster, "moved", 5.0
+        )
+        assert "depot-1" in cluster.log.state.cluster.agents
+
+
+async def test_lower_generation_is_refused_whoever_offers_it() -> None:
+    async with run_cluster() as cluster:
+        cluster.log.fill(1)
+        stale = cluster.log.state.cluster
+        cluster.log.fill(20)
+        member = await cluster.add_member("depot-1")
+        before = member.feed.state.generation
+        offer = control_pb2.Update(
+            snapshot=encode_snapshot(stale), digest=compute_digest(stale)
+        )
+        member.feed.take_update(offer)
+        assert member.feed.state.generation >= before
+        assert member.counters.get("feed.refused", "lower generation") == 1
+
+
+async def test_start_at_a_cut_off_controller_takes_no_old_state() -> None:
+    async with run_cluster() as cluster:
+        cluster.log.fill(5)
+        stale = cluster.controllers[2]
+        stale.connected = False
+        cluster.log.fill(5)
+        member = Member("depot-1", cluster.addresses)
+        cluster.members.append(member)
+        member.feed.candidates = [stale.address]
+        member.start()
+        await wait_for(lambda: member.feed.received.generation == 5, "old state came")
+        assert member.feed.state.generation == 0
+        await wait_for(lambda: member.feed.lease_holds, "admitted by another")
+        assert member.feed.history[1] >= 10
+
+
+async def test_damaged_delta_is_replaced_by_a_snapshot() -> None:
+    async with run_cluster() as cluster:
+        cluster.log.fill(1)
+        member = await cluster.add_member("depot-1")
+        state = member.feed.state
+        damaged = state_pb2.Delta(
+            base=state.generation, generation=state.generation + 1, digest=1
+        )
+        member.feed.take_update(control_pb2.Update(delta=damaged))
+        assert member.feed.state == state
+        assert member.counters.get("feed.refused", "delta") == 1
+        await wait_for(lambda: not member.feed.want_snapshot, "snapshot came")
