--- /dev/null
+++ b/src/lentilfork/claims/runner.py
@@ -0,0 +1,328 @@
+"""The runner's side of claims: asks the voters of a shard before a request runs.
+
+A round sends one request to all voters of an epoch at once and ends when the
+replies decide, at a majority. Invariants:
+
+- an attempt runs only after a majority of one epoch granted it, once, and before
+  its grant expires;
+- an attempt that is withdrawn or settled as not run is abandoned first and can no
+  longer begin;
+- "not run" is told only after a majority of one epoch recorded it.
+
+Attempts that split the vote: the one with the lowest id asks again until its
+deadline, the others withdraw and so free their votes for it.
+
+Times are seconds of the client's clock.
+"""
+
+import asyncio
+import random
+import secrets
+import time
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Final
+from typing import TypeAlias
+from typing import TypeVar
+
+from lentilfork.claims.keys import shard_for
+from lentilfork.claims.outcomes import GRANT_LIFETIME_S
+from lentilfork.claims.outcomes import AlreadyDone
+from lentilfork.claims.outcomes import ClaimOutcome
+from lentilfork.claims.outcomes import Grant
+from lentilfork.claims.outcomes import Granted
+from lentilfork.claims.outcomes import NoQuorum
+from lentilfork.claims.outcomes import WaitOutcome
+from lentilfork.claims.peers import Peers
+from lentilfork.claims.peers import VoterRequest
+from lentilfork.claims.peers import find_control_address
+from lentilfork.claims.records import MAXIMUM_ANSWER_BYTES
+from lentilfork.claims.records import Attempt
+from lentilfork.claims.records import encode_attempt
+from lentilfork.claims.rounds import Round
+from lentilfork.claims.rounds import judge_claim
+from lentilfork.claims.rounds import judge_settlement
+from lentilfork.claims.rounds import judge_split
+from lentilfork.claims.rounds import judge_wait
+from lentilfork.claims.voter import ClaimVoter
+from lentilfork.claims.voter import encode_epoch
+from lentilfork.counters import Counters
+from lentilfork.schema.claims_pb2 import ClaimReply
+from lentilfork.schema.claims_pb2 import ClaimRequest
+from lentilfork.schema.claims_pb2 import FindRequest
+from lentilfork.schema.claims_pb2 import SettleRequest
+from lentilfork.schema.claims_pb2 import ShardEpoch
+from lentilfork.state.model import Voter
+
+__all__ = ["ClaimClient"]
+
+CALL_TIMEOUT_S: Final = 0.5
+FIRST_BACKOFF_S: Final = 0.01
+MAXIMUM_BACKOFF_S: Final = 0.25
+ATTEMPT_ID_BYTES: Final = 16
+# Withdrawals and calls left over from decided rounds.
+MAXIMUM_BACKGROUND_TASKS: Final = 2_000
+
+End: TypeAlias = "SettleRequest.End.ValueType"
+Outcome = TypeVar("Outcome")
+# Makes the request to send to the voters of an epoch.
+RequestFactory = Callable[[ShardEpoch], VoterRequest]
+# Returns what a round decides; None: nothing yet.
+Judge = Callable[[Round], Outcome | None]
+
+
+class ClaimClient:
+    """Claims and settles requests for one agent."""
+
+    own: Voter
+    peers: Peers
+    # The voter of this process: holds the agreed state, and votes directly.
+    voter: ClaimVoter
+    counters: Counters
+    # Seconds of a monotonic clock that goes on while the process is stopped.
+    clock: Callable[[], float]
+    randomness: random.Random
+    background: set[asyncio.Task[object]]
+
+    def __init__(
+        self,
+        own: Voter,
+        peers: Peers,
+        voter: ClaimVoter,
+        counters: Counters,
+        clock: Callable[[], float] = time.monotonic,
+        randomness: random.Random | None = None,
+    ) -> None:
+        self.own = own
+        self.peers = peers
+        self.voter = voter
+        self.counters = counters
+        self.clock = clock
+        self.randomness = randomness or random.Random(secrets.randbits(64))
+        self.background = set()
+
+    async def claim(
+        self, service: str, key: bytes, exchange: bytes, deadline: float
+    ) -> ClaimOutcome:
+        """Ask for the right to run a request.
+
+        Asks again until `deadline` while no majority has decided. On `Granted`,
+        call `begin` right before the request runs, then `settle_done`; or, if it
+        is not to run, `settle_not_run` or `withdraw`. A cancelled call withdraws.
+        """
+        grant = self.make_grant(service, key, exchange, deadline)
+        try:
+            outcome = await self.contest(grant)
+        except asyncio.CancelledError:
+            self.withdraw(grant)
+            raise
+        if not isinstance(outcome, Granted | AlreadyDone):
+            self.withdraw(grant)
+        self.counters.add("claims", type(outcome).__name__.lower())
+        return outcome
+
+    def make_grant(
+        self, service: str, key: bytes, exchange: bytes, deadline: float
+    ) -> Grant:
+        """Return a new attempt, which nobody has granted yet."""
+        attempt_id = self.randomness.randbytes(ATTEMPT_ID_BYTES)
+        attempt = Attempt(attempt_id, exchange, self.own)
+        expires = min(deadline, self.clock() + GRANT_LIFETIME_S)
+        return Grant(service, key, attempt, expires, self.clock)
+
+    async def contest(self, grant: Grant) -> ClaimOutcome:
+        """Ask for a grant until it is decided or expires."""
+
+        def make_request(shard: ShardEpoch) -> VoterRequest:
+            attempt = encode_attempt(grant.attempt)
+            return ClaimRequest(shard=shard, key=grant.key, attempt=attempt)
+
+        def judge(votes: Round) -> ClaimOutcome | None:
+            return judge_claim(votes, grant)
+
+        def judge_whole(votes: Round) -> ClaimOutcome | None:
+            return judge_split(votes, grant)
+
+        outcome: ClaimOutcome | None = await self.repeat(
+            grant, make_request, judge, judge_whole, grant.expires
+        )
+        return NoQuorum() if outcome is None else outcome
+
+    async def settle_done(
+        self, grant: Grant, answer: bytes | None, deadline: float
+    ) -> bool:
+        """Record that a request ran; returns whether a majority did.
+
+        `answer` goes to later copies of the request; None, or one longer than
+        `MAXIMUM_ANSWER_BYTES`, leaves them without.
+        """
+        if answer is not None and len(answer) > MAXIMUM_ANSWER_BYTES:
+            answer = None
+        return await self.settle(grant, SettleRequest.DONE, answer, deadline)
+
+    async def settle_not_run(self, grant: Grant, deadline: float) -> bool:
+        """Record that a request did not run; its exchange never will then.
+
+        Only on True may the caller be told "not run". False when the request has
+        begun to run, may have run elsewhere, or no majority answered in time.
+        """
+        if not grant.abandon():
+            return False
+        recorded = await self.settle(grant, SettleRequest.NOT_RUN, None, deadline)
+        if not recorded:
+            self.withdraw(grant)
+        return recorded
+
+    async def refuse(
+        self, service: str, key: bytes, exchange: bytes, deadline: float
+    ) -> bool:
+        """Do as `settle_not_run` does, for a request that was never claimed here."""
+        grant = self.make_grant(service, key, exchange, deadline)
+        return await self.settle_not_run(grant, deadline)
+
+    async def settle(
+        self,
+        grant: Grant,
+        end: End,
+        answer: bytes | None,
+        deadline: float,
+    ) -> bool:
+        """Send an attempt's end until a majority of one epoch has recorded it."""
+
+        def make_request(shard: ShardEpoch) -> VoterRequest:
+            attempt = encode_attempt(grant.attempt)
+            return SettleRequest(
+                shard=shard, key=grant.key, attempt=attempt, end=end, answer=answer
+            )
+
+        recorded = await self.repeat(
+            grant, make_request, judge_settlement, judge_settlement, deadline
+        )
+        self.counters.add(
+            "claims_settled", SettleRequest.End.Name(end).lower(), int(bool(recorded))
+        )
+        return bool(recorded)
+
+    def withdraw(self, grant: Grant) -> None:
+        """Give up a grant that has not begun and free its votes, in the background."""
+        if not grant.abandon():
+            return
+        deadline = self.clock() + CALL_TIMEOUT_S
+        self.start(self.settle(grant, SettleRequest.WITHDRAWN, None, deadline))
+
+    async def wait_for_answer(
+        self, service: str, key: bytes, exchange: bytes, deadline: float
+    ) -> WaitOutcome:
+        """Wait until the attempt that holds a request ends; NoQuorum: unknown."""
+        grant = self.make_grant(service, key, exchange, deadline)
+
+        def make_request(shard: ShardEpoch) -> VoterRequest:
+            return FindRequest(shard=shard, key=key)
+
+        def judge(votes: Round) -> WaitOutcome | None:
+            return judge_wait(votes, exchange)
+
+        outcome: WaitOutcome | None = await self.repeat(
+            grant, make_request, judge, judge, deadline
+        )
+        return NoQuorum() if outcome is None else outcome
+
+    async def repeat(
+        self,
+        grant: Grant,
+        make_request: RequestFactory,
+        judge: Judge[Outcome],
+        judge_whole: Judge[Outcome],
+        deadline: float,
+    ) -> Outcome | None:
+        """Ask in rounds until one decides or `deadline` passes, then None.
+
+        `judge` sees a round after each reply, `judge_whole` once all replies are
+        in. Each round takes the shard's epoch anew.
+        """
+        backoff_s = FIRST_BACKOFF_S
+        name = shard_for(grant.service, grant.key)
+        while self.clock() < deadline:
+            shard = self.voter.state.claim_shards.get(name)
+            if shard is not None:
+                request = make_request(encode_epoch(name, shard.epoch))
+                votes = Round(shard)
+                await self.ask(votes, request, judge, deadline)
+                outcome = judge(votes)
+                if outcome is None:
+                    outcome = judge_whole(votes)
+                if outcome is not None:
+                    return outcome
+            jitter = self.randomness.uniform(0.5, 1.0)
+            remaining_s = max(0.0, deadline - self.clock())
+            await asyncio.sleep(min(backoff_s * jitter, remaining_s))
+            backoff_s = min(2 * backoff_s, MAXIMUM_BACKOFF_S)
+        return None
+
+    async def ask(
+        self,
+        votes: Round,
+        request: VoterRequest,
+        judge: Judge[Outcome],
+        deadline: float,
+    ) -> None:
+        """Send one request to all voters and collect replies until they decide.
+
+        Calls under way at that time go on: more voters then know the outcome.
+        """
+        timeout_s = min(CALL_TIMEOUT_S, deadline - self.clock())
+        calls = {
+            asyncio.create_task(self.call(voter, request, timeout_s)): voter
+            for voter in votes.shard.voters
+        }
+        pending = set(calls)
+        try:
+            while pending and judge(votes) is None:
+                done, pending = await asyncio.wait(
+                    pending, return_when=asyncio.FIRST_COMPLETED
+                )
+                replies = {calls[call]: call.result() for call in done}
+                votes.replies |= {
+                    voter: reply for voter, reply in replies.items() if reply
+                }
+        except asyncio.CancelledError:
+            for call in pending:
+                call.cancel()
+            raise
+        for call in pending:
+            self.keep(call)
+
+    async def call(
+        self, voter: Voter, request: VoterRequest, timeout_s: float
+    ) -> ClaimReply | None:
+        """Return one voter's reply; None if there was none."""
+        if voter == self.own:
+            return self.voter.answer(request)
+        address = find_control_address(self.voter.state, voter)
+        if address is None:
+            return None
+        reply = await self.peers.call(address, request, timeout_s)
+        if reply is None or Voter(reply.voter, reply.incarnation) != voter:
+            # Another process has this address now: its vote is not this voter's.
+            return None
+        return reply
+
+    def start(self, work: Coroutine[object, object, object]) -> None:
+        """Run work in the background, unless there is too much of it."""
+        if len(self.background) >= MAXIMUM_BACKGROUND_TASKS:
+            self.counters.add("claims_background_dropped")
+            work.close()
+            return
+        self.keep(asyncio.create_task(work))
+
+    def keep(self, task: asyncio.Task[object]) -> None:
+        """Hold a reference to a task until it ends."""
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+
+    async def stop(self) -> None:
+        """Cancel all work in the background."""
+        tasks = list(self.background)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
