--- /dev/null
+++ b/src/lentilfork/agreement/core.py
@@ -0,0 +1,211 @@
+"""What the parts of one replica share: term, role, log and applied state.
+
+Invariants:
+
+- a vote is answered and a term is acted in only after both were synced;
+- `lock` is held while a term changes or entries of a leader are taken;
+- `commit_index` never goes back, and only entries up to it are applied;
+- the state is changed by applying entries and installing snapshots alone.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable
+from enum import Enum
+from enum import unique
+from random import Random
+from typing import Final
+
+from lentilfork.agreement.log import Log
+from lentilfork.agreement.storage import Storage
+from lentilfork.agreement.transport import Transport
+from lentilfork.agreement.voters import Configuration
+from lentilfork.agreement.voters import Configurations
+from lentilfork.counters import Counters
+from lentilfork.logs import Logger
+from lentilfork.schema import agreement_pb2
+from lentilfork.schema import state_pb2
+from lentilfork.settings import ControllerSettings
+from lentilfork.state import ReplicatedState
+from lentilfork.state import apply_change
+from lentilfork.state.model import ClusterState
+
+__all__ = ["ELECTION_TIMEOUT_MAX_S", "ELECTION_TIMEOUT_MIN_S", "Core", "Role"]
+
+ELECTION_TIMEOUT_MIN_S: Final = 0.7
+ELECTION_TIMEOUT_MAX_S: Final = 1.3
+
+StateListener = Callable[[ClusterState, ClusterState], None]
+ApplyListener = Callable[[agreement_pb2.LogEntry, state_pb2.ChangeResult | None], None]
+
+log = Logger("agreement")
+
+
+@unique
+class Role(Enum):
+    """What a replica is in its term."""
+
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+def read_wall_clock_ms() -> int:
+    """Return Unix time in milliseconds."""
+    return time.time_ns() // 1_000_000
+
+
+class Core:
+    """The shared part of one replica."""
+
+    settings: ControllerSettings
+    transport: Transport
+    counters: Counters
+    random: Random
+    storage: Storage
+    log: Log
+    configurations: Configurations
+    state: ReplicatedState
+    # Term and vote as acted upon; on disk before an answer leaves.
+    term: int
+    voted_for: str
+    role: Role
+    leader: str
+    leader_address: str
+    commit_index: int
+    applied_index: int
+    # Loop time at which a leader of this term was last heard.
+    leader_heard_s: float
+    # Serialises changes of term and what leaders hand over.
+    lock: asyncio.Lock
+    # Called with the states before and after each applied generation.
+    listeners: list[StateListener]
+    # Called with each applied entry and the answer to its change.
+    apply_listeners: list[ApplyListener]
+    # Called whenever the role changes.
+    role_listeners: list[Callable[[Role], None]]
+
+    def __init__(
+        self,
+        settings: ControllerSettings,
+        transport: Transport,
+        counters: Counters,
+        randomness: Random,
+        storage: Storage,
+    ) -> None:
+        self.settings = settings
+        self.transport = transport
+        self.counters = counters
+        self.random = randomness
+        self.storage = storage
+        self.state = ReplicatedState()
+        self.configurations = Configurations(0, {})
+        self.term = 0
+        self.voted_for = ""
+        self.role = Role.FOLLOWER
+        self.leader = ""
+        self.leader_address = ""
+        self.commit_index = 0
+        self.applied_index = 0
+        self.leader_heard_s = 0.0
+        self.lock = asyncio.Lock()
+        self.listeners = []
+        self.apply_listeners = []
+        self.role_listeners = []
+
+    @property
+    def name(self) -> str:
+        """Name of this replica."""
+        return self.settings.name
+
+    @property
+    def configuration(self) -> Configuration:
+        """The controllers in effect, by name."""
+        return self.configurations.current
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this replica, with this data folder, has a vote."""
+        member = self.configuration.get(self.name)
+        return (
+            member is not None
+            and member.voter
+            and member.disk_id == self.storage.disk_id
+        )
+
+    @property
+    def is_fresh(self) -> bool:
+        """Whether the data folder holds no entry and no snapshot."""
+        return self.log.last_index == 0
+
+    def get_time_s(self) -> float:
+        """Return the monotonic time of the event loop."""
+        return asyncio.get_running_loop().time()
+
+    def change_role(self, role: Role) -> None:
+        """Take a role; listeners hear of it if it is another one."""
+        if role is self.role:
+            return
+        log.info("role changed", role=role.value, term=self.term)
+        self.role = role
+        self.counters.add("agreement_roles", role.value)
+        for listener in self.role_listeners:
+            listener(role)
+
+    async def adopt_term(self, term: int, candidate: str = "") -> None:
+        """Enter a term, or vote in it; the lock is held, StorageError on failure.
+
+        Memory comes first, so that nothing is confirmed in the former term while
+        the vote is being synced.
+        """
+        if term > self.term:
+            self.leader = ""
+            self.leader_address = ""
+        self.term = term
+        self.voted_for = candidate
+        if candidate != self.name:
+            self.change_role(Role.FOLLOWER)
+        await self.storage.save_vote(term, candidate)
+
+    def append(self, entries: list[agreement_pb2.LogEntry]) -> None:
+        """Append entries to the log and take note of configurations."""
+        self.log.append(entries)
+        self.configurations.add_entries(entries)
+
+    def commit(self, index: int) -> None:
+        """Commit and apply up to an index that the log holds."""
+        self.commit_index = max(self.commit_index, min(index, self.log.last_index))
+        while self.applied_index < self.commit_index:
+            position = self.applied_index - self.log.base_index
+            self.apply(self.log.entries[position])
+
+    def apply(self, entry: agreement_pb2.LogEntry) -> None:
+        """Apply the next entry and tell the listeners."""
+        self.applied_index = entry.index
+        result = None
+        before = self.state.cluster
+        if entry.HasField("change"):
+            self.state, result = apply_change(self.state, entry.change)
+            self.counters.add("agreement_applied")
+        for listener in self.apply_listeners:
+            listener(entry, result)
+        if self.state.cluster.generation != before.generation:
+            self.notify(before)
+
+    def notify(self, before: ClusterState) -> None:
+        """Tell the listeners of a new generation; one that raises stops none."""
+        for listener in list(self.listeners):
+            try:
+                listener(before, self.state.cluster)
+            except Exception as error:
+                self.counters.add("agreement_listener_errors")
+                log.error("listener failed", error=repr(error))
+
+    def restore(self, index: int, state: ReplicatedState) -> None:
+        """Take the state of a snapshot that is ahead of the one applied."""
+        before = self.state.cluster
+        self.state = state
+        self.applied_index = index
+        self.commit_index = max(self.commit_index, index)
+        if state.cluster.generation != before.generation:
+            self.notify(before)
--- /dev/null
+++ b/src/lentilfork/agreement/following.py
@@ -0,0 +1,168 @@
+"""How a replica takes entries and snapshots from a leader.
+
+An answer that confirms entries leaves only after they were synced, and only if
+the term is still the one they were sent in.
+"""
+
+from collections.abc import AsyncIterator
+from itertools import dropwhile
+from typing import Final
+
+from result import Err
+
+from lentilfork.agreement.core import Core
+from lentilfork.agreement.core import Role
+from lentilfork.agreement.core import log
+from lentilfork.agreement.election import Election
+from lentilfork.agreement.storage import StorageError
+from lentilfork.agreement.voters import Configurations
+from lentilfork.errors import Failure
+from lentilfork.schema import agreement_pb2
+from lentilfork.state.snapshots import parse_replicated
+
+__all__ = ["Following"]
+
+MAXIMUM_SNAPSHOT_BYTES: Final = 128 * 1024 * 1024
+
+
+class Following:
+    """The follower's side of replication."""
+
+    core: Core
+    election: Election
+
+    def __init__(self, core: Core, election: Election) -> None:
+        self.core = core
+        self.election = election
+
+    def make_reply(self, success: bool, match_index: int) -> agreement_pb2.AppendReply:
+        """Return an answer to the leader."""
+        return agreement_pb2.AppendReply(
+            term=self.core.term,
+            success=success,
+            match_index=match_index,
+            disk_id=self.core.storage.disk_id,
+        )
+
+    async def accept_leader(self, term: int, leader: str, address: str) -> bool:
+        """Follow a leader unless its term has passed; the lock is held."""
+        core = self.core
+        if term < core.term:
+            return False
+        if term > core.term:
+            await core.adopt_term(term)
+        core.change_role(Role.FOLLOWER)
+        if core.leader != leader:
+            log.info("leader changed", leader=leader, term=term)
+        core.leader = leader
+        core.leader_address = address
+        core.leader_heard_s = core.get_time_s()
+        return True
+
+    async def handle_append(
+        self, request: agreement_pb2.AppendRequest
+    ) -> agreement_pb2.AppendReply:
+        """Take entries; StorageError if they could not be synced."""
+        core = self.core
+        core.storage.check_writable()
+        async with core.lock:
+            if not await self.accept_leader(
+                request.term, request.leader, request.leader_address
+            ):
+                return self.make_reply(False, 0)
+            if request.distrusted_disk_id == core.storage.disk_id:
+                log.error("data folder lost confirmed entries; taking a new id")
+                await core.storage.renew_identity()
+            hint = self.find_mismatch(request)
+            if hint is not None:
+                return self.make_reply(False, hint)
+            match_index = self.take_entries(request)
+        await core.log.wait_synced(match_index)
+        if core.term != request.term:
+            return self.make_reply(False, 0)
+        core.leader_heard_s = core.get_time_s()
+        if request.campaign:
+            self.election.hurry.set()
+        return self.make_reply(True, match_index)
+
+    def find_mismatch(self, request: agreement_pb2.AppendRequest) -> int | None:
+        """Return the index to go on from if the log lacks the entry before."""
+        core = self.core
+        previous = request.previous_index
+        if previous < core.log.base_index:
+            # Everything up to the base is committed, so it agrees.
+            return None
+        term = core.log.get_term(previous)
+        if term == request.previous_term:
+            return None
+        if term is None:
+            return core.log.last_index
+        # Skips the whole term that differs; what is committed agrees.
+        while previous > core.commit_index and core.log.get_term(previous) == term:
+            previous -= 1
+        return previous
+
+    def take_entries(self, request: agreement_pb2.AppendRequest) -> int:
+        """Append what is new and commit; returns the last index that agrees."""
+        core = self.core
+        entries = [
+            entry for entry in request.entries if entry.index > core.log.base_index
+        ]
+        new = list(
+            dropwhile(
+                lambda entry: core.log.get_term(entry.index) == entry.term, entries
+            )
+        )
+        if new and new[0].index <= core.commit_index:
+            raise RuntimeError(f"entry {new[0].index} differs from a committed one")
+        if new:
+            core.append(new)
+        match_index = request.previous_index + len(request.entries)
+        core.commit(min(request.commit_index, match_index))
+        return match_index
+
+    async def handle_snapshot(
+        self, chunks: AsyncIterator[agreement_pb2.SnapshotChunk]
+    ) -> agreement_pb2.AppendReply:
+        """Take a snapshot sent in parts; StorageError if it could not be synced."""
+        core = self.core
+        core.storage.check_writable()
+        data = bytearray()
+        last = agreement_pb2.SnapshotChunk()
+        async for chunk in chunks:
+            async with core.lock:
+                if not await self.accept_leader(
+                    chunk.term, chunk.leader, chunk.leader_address
+                ):
+                    return self.make_reply(False, 0)
+            data += chunk.data
+            last = chunk
+            if len(data) > MAXIMUM_SNAPSHOT_BYTES:
+                text = f"larger than {MAXIMUM_SNAPSHOT_BYTES} bytes"
+                raise StorageError(Failure("take snapshot", chunk.leader, text))
+        async with core.lock:
+            if last.term != core.term or not data:
+                return self.make_reply(False, 0)
+            await self.install(last, bytes(data))
+            return self.make_reply(True, last.last_index)
+
+    async def install(self, last: agreement_pb2.SnapshotChunk, data: bytes) -> None:
+        """Put a snapshot in place of the log before it; the lock is held."""
+        core = self.core
+        if last.last_index <= core.commit_index:
+            return
+        state = parse_replicated(data, last.leader)
+        if isinstance(state, Err):
+            raise StorageError(state.err_value)
+        snapshot = agreement_pb2.StoredSnapshot(
+            last_index=last.last_index, last_term=last.last_term, data=data
+        )
+        await core.log.install(snapshot)
+        core.configurations = Configurations(
+            last.last_index, state.ok_value.cluster.controllers
+        )
+        core.configurations.add_entries(
+            entry for entry in core.log.entries if entry.index > last.last_index
+        )
+        core.restore(last.last_index, state.ok_value)
+        core.counters.add("agreement_snapshots", "installed")
--- /dev/null
+++ b/src/lentilfork/agreement/joining.py
@@ -0,0 +1,246 @@
+"""How a replica comes in: the first start of all, and joining a running system.
+
+First start: the controller of the lowest name writes the first entry, with the
+data folders of all voters of its settings, once each of them answered that it
+holds no entry. A majority that ever confirmed anything contains one that does
+hold an entry, so an emptied folder cannot begin a second history beside it. The
+term of the first entry is drawn at random: two attempts on different folders
+never write different entries of one index and term.
+
+Joining: a replica that has no vote, because it is new or because its folder is
+not the one it was admitted with, asks the leader. It is admitted as a learner
+and promoted once it holds all that is committed, in place of its former self or
+of a voter that has been silent for `REPLACE_SILENT_S`; else it stays a spare.
+"""
+
+import asyncio
+import secrets
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Final
+
+from lentilfork.agreement.core import Core
+from lentilfork.agreement.core import log
+from lentilfork.agreement.leadership import Leadership
+from lentilfork.agreement.proposals import Proposals
+from lentilfork.agreement.storage import StorageError
+from lentilfork.agreement.transport import TransportError
+from lentilfork.agreement.voters import Configuration
+from lentilfork.agreement.voters import encode_configuration
+from lentilfork.agreement.voters import list_voters
+from lentilfork.schema import agreement_pb2
+from lentilfork.schema import state_pb2
+from lentilfork.state.codec import decode_controller
+from lentilfork.state.codec import encode_controller
+from lentilfork.state.model import Controller
+
+__all__ = ["Joining"]
+
+JOIN_INTERVAL_S: Final = 0.3
+CALL_TIMEOUT_S: Final = 1.0
+ADMIT_TIMEOUT_S: Final = 2.0
+REPLACE_SILENT_S: Final = 20.0
+MAXIMUM_FIRST_TERM: Final = 1 << 20
+
+
+class Joining:
+    """How one replica gets its vote, and how a leader admits others."""
+
+    core: Core
+    proposals: Proposals
+    get_leadership: Callable[[], Leadership | None]
+    # Number of voters this system was set up with, as far as this leader knows.
+    admitting: asyncio.Lock
+
+    def __init__(
+        self,
+        core: Core,
+        proposals: Proposals,
+        get_leadership: Callable[[], Leadership | None],
+    ) -> None:
+        self.core = core
+        self.proposals = proposals
+        self.get_leadership = get_leadership
+        self.admitting = asyncio.Lock()
+
+    async def run(self) -> None:
+        """Begin the history or ask for a vote, for as long as there is none."""
+        core = self.core
+        while True:
+            if core.is_fresh and await self.may_begin():
+                await self.begin()
+            elif not core.is_voter:
+                await self.ask_to_join()
+            await asyncio.sleep(JOIN_INTERVAL_S)
+
+    async def may_begin(self) -> bool:
+        """Tell whether this replica may write the first entry of all."""
+        peers = self.core.settings.controllers
+        if self.core.name != min(peer.name for peer in peers):
+            return False
+        replies = await self.identify_peers()
+        return len(replies) == len(peers) - 1 and all(
+            reply.fresh for reply in replies.values()
+        )
+
+    async def identify_peers(self) -> dict[str, agreement_pb2.IdentifyReply]:
+        """Return the identities of the other controllers of the settings."""
+        core = self.core
+        peers = [peer for peer in core.settings.controllers if peer.name != core.name]
+        calls = (
+            core.transport.identify(peer.address, CALL_TIMEOUT_S) for peer in peers
+        )
+        answers = await asyncio.gather(*calls, return_exceptions=True)
+        return {
+            peer.name: answer
+            for peer, answer in zip(peers, answers, strict=True)
+            if isinstance(answer, agreement_pb2.IdentifyReply)
+            and answer.name == peer.name
+        }
+
+    async def begin(self) -> None:
+        """Write the first entry: the controllers of the settings as voters."""
+        core = self.core
+        replies = await self.identify_peers()
+        disk_ids = {name: reply.disk_id for name, reply in replies.items()}
+        disk_ids[core.name] = core.storage.disk_id
+        peers = core.settings.controllers
+        if len(disk_ids) != len(peers):
+            return
+        controllers = encode_configuration(
+            Controller(peer.name, peer.address, True, disk_ids[peer.name])
+            for peer in peers
+        )
+        change = state_pb2.Change(
+            change_id=f"first-{core.storage.disk_id:016x}",
+            put_controllers=controllers,
+        )
+        async with core.lock:
+            if not core.is_fresh:
+                return
+            term = core.term + 1 + secrets.randbelow(MAXIMUM_FIRST_TERM)
+            try:
+                await core.adopt_term(term)
+            except StorageError as error:
+                log.error("first entry not synced", failure=error)
+                return
+            entry = agreement_pb2.LogEntry(index=1, term=term, change=change)
+            core.append([entry])
+        log.info("began the history", voters=len(peers))
+
+    async def ask_to_join(self) -> None:
+        """Ask the controllers known for a vote, until the leader was found."""
+        core = self.core
+        member = Controller(
+            core.name, core.settings.control_address, False, core.storage.disk_id
+        )
+        request = agreement_pb2.JoinRequest(controller=encode_controller(member))
+        known = (
+            core.leader_address,
+            *(peer.address for peer in core.settings.controllers),
+            *(item.control_address for item in core.configuration.values()),
+        )
+        own = core.settings.control_address
+        for address in dict.fromkeys(known):
+            if not address or address == own:
+                continue
+            try:
+                reply = await core.transport.join(address, request, CALL_TIMEOUT_S)
+            except TransportError:
+                core.counters.add("agreement_call_errors", "join")
+                continue
+            if reply.state:
+                return
+
+    async def handle_join(
+        self, request: agreement_pb2.JoinRequest
+    ) -> agreement_pb2.JoinReply:
+        """Admit or promote a replica if this one leads."""
+        leadership = self.get_leadership()
+        if leadership is None or not leadership.is_open:
+            return agreement_pb2.JoinReply(leader_address=self.core.leader_address)
+        async with self.admitting:
+            state = await self.admit(leadership, decode_controller(request.controller))
+        return agreement_pb2.JoinReply(
+            leader_address=self.core.leader_address, state=state
+        )
+
+    async def admit(self, leadership: Leadership, joiner: Controller) -> str:
+        """Take the next step for a replica that has no vote; returns its state."""
+        configuration = self.core.configuration
+        known = configuration.get(joiner.name)
+        if joiner.name == self.core.name or is_alive(leadership, known, joiner):
+            return "the name is in use"
+        if known is None or known.disk_id != joiner.disk_id:
+            learner = replace(joiner, voter=False)
+            return await self.put(configuration | {joiner.name: learner}, "learner")
+        if known.control_address != joiner.control_address:
+            moved = replace(known, control_address=joiner.control_address)
+            return await self.put(configuration | {joiner.name: moved}, "moved")
+        if known.voter:
+            return "voter"
+        if joiner.name not in leadership.list_ready():
+            return "learner"
+        return await self.promote(leadership, configuration, known)
+
+    async def promote(
+        self, leadership: Leadership, configuration: Configuration, learner: Controller
+    ) -> str:
+        """Give a learner that caught up its vote, if one is vacant."""
+        silent = find_silent_voter(leadership)
+        voters = len(list_voters(configuration))
+        if silent is not None:
+            demoted = replace(silent, voter=False)
+            return await self.put(configuration | {silent.name: demoted}, "learner")
+        if voters >= self.count_votes(configuration):
+            return "spare"
+        promoted = replace(learner, voter=True)
+        return await self.put(configuration | {learner.name: promoted}, "voter")
+
+    def count_votes(self, configuration: Configuration) -> int:
+        """Return how many voters there should be: the odd number set up."""
+        voters = len(list_voters(configuration))
+        # Demotion leaves an even number; an even number is one vote short.
+        return voters + 1 if voters % 2 == 0 else voters
+
+    async def put(self, configuration: Configuration, state: str) -> str:
+        """Propose a configuration; returns the state it gives, or the problem."""
+        change = state_pb2.Change(
+            change_id=f"join-{self.core.random.getrandbits(64):016x}",
+            put_controllers=encode_configuration(configuration.values()),
+        )
+        reply = await self.proposals.submit(change, ADMIT_TIMEOUT_S)
+        if reply.result.outcome == state_pb2.ACCEPTED:
+            log.info("controllers changed", state=state)
+            return state
+        return reply.result.message or reply.unknown or reply.refused or "waiting"
+
+
+def is_alive(
+    leadership: Leadership, known: Controller | None, joiner: Controller
+) -> bool:
+    """Tell whether a replica of this name and another data folder answers."""
+    if known is None or known.disk_id == joiner.disk_id:
+        return False
+    peer = leadership.peers.get(known.name)
+    return (
+        peer is not None
+        and peer.disk_id == known.disk_id
+        and leadership.is_counted(peer)
+        and leadership.is_heard(peer)
+    )
+
+
+def find_silent_voter(leadership: Leadership) -> Controller | None:
+    """Return a voter that confirmed nothing for `REPLACE_SILENT_S`."""
+    now_s = leadership.core.get_time_s()
+    voters = list_voters(leadership.core.configuration)
+    return next(
+        (
+            voter
+            for voter in voters
+            if (peer := leadership.peers.get(voter.name)) is not None
+            and now_s - peer.heard_s >= REPLACE_SILENT_S
+        ),
+        None,
+    )
--- /dev/null
+++ b/src/lentilfork/agreement/leadership.py
@@ -0,0 +1,367 @@
+"""One leadership: the leader's side of replication during one term.
+
+One task for each peer hands over entries, a snapshot where the log no longer
+reaches back, or a heartbeat. A confirmation counts towards a majority only if it
+came from the data folder the voter was admitted with. A leader that no majority
+confirms for `QUORUM_TIMEOUT_S` steps down.
+"""
+
+import asyncio
+from collections.abc import Iterator
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Final
+
+from lentilfork.agreement.core import Core
+from lentilfork.agreement.core import Role
+from lentilfork.agreement.core import log
+from lentilfork.agreement.storage import StorageError
+from lentilfork.agreement.transport import TransportError
+from lentilfork.agreement.voters import find_majority_index
+from lentilfork.agreement.voters import has_majority
+from lentilfork.schema import agreement_pb2
+from lentilfork.schema import state_pb2
+from lentilfork.state import encode_replicated
+from lentilfork.state.model import Controller
+
+__all__ = ["Leadership", "Peer"]
+
+HEARTBEAT_INTERVAL_S: Final = 0.15
+APPEND_TIMEOUT_S: Final = 1.0
+SNAPSHOT_TIMEOUT_S: Final = 20.0
+QUORUM_TIMEOUT_S: Final = 1.5
+QUORUM_CHECK_INTERVAL_S: Final = 0.1
+MAXIMUM_BATCH_BYTES: Final = 512 * 1024
+SNAPSHOT_CHUNK_BYTES: Final = 64 * 1024
+
+
+@dataclass(slots=True)
+class Peer:
+    """What the leader knows of another controller."""
+
+    controller: Controller
+    # First entry to hand over next.
+    next_index: int
+    # When the last request it confirmed was sent, in loop time.
+    heard_s: float
+    # Last entry it holds, synced, on the data folder of `disk_id`.
+    match_index: int = 0
+    # Data folder it answered with; 0 before its first answer.
+    disk_id: int = 0
+    # A data folder that lost entries it had confirmed; 0 for none.
+    distrusted_disk_id: int = 0
+    # It is to take over.
+    campaign: bool = False
+    # Set when there is something to hand over.
+    wake: asyncio.Event = field(default_factory=asyncio.Event)
+    task: asyncio.Task[None] | None = None
+
+
+class Leadership:
+    """One term in which this replica leads."""
+
+    core: Core
+    term: int
+    # Index of the entry that opens the term; committed, it commits all before.
+    opening_index: int
+    peers: dict[str, Peer]
+    tasks: list[asyncio.Task[None]]
+    # Takes no new changes: another replica is about to take over.
+    leaving: bool
+
+    def __init__(self, core: Core) -> None:
+        self.core = core
+        self.term = core.term
+        self.opening_index = core.log.last_index + 1
+        self.peers = {}
+        self.tasks = []
+        self.leaving = False
+
+    @property
+    def is_current(self) -> bool:
+        """Whether this replica still leads in this term."""
+        return self.core.role is Role.LEADER and self.core.term == self.term
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the entry that opens the term is committed."""
+        return self.is_current and self.core.commit_index >= self.opening_index
+
+    def start(self) -> None:
+        """Open the term and start the tasks."""
+        opening = agreement_pb2.LogEntry(index=self.opening_index, term=self.term)
+        self.core.append([opening])
+        self.update_peers()
+        self.tasks = [
+            asyncio.create_task(self.watch_syncs(), name="watch syncs"),
+            asyncio.create_task(self.watch_quorum(), name="watch quorum"),
+        ]
+
+    def cancel(self) -> list[asyncio.Task[None]]:
+        """Cancel all tasks of this leadership but the one that runs now."""
+        peer_tasks = (peer.task for peer in self.peers.values() if peer.task)
+        current = asyncio.current_task()
+        tasks = [task for task in (*self.tasks, *peer_tasks) if task is not current]
+        for task in tasks:
+            task.cancel()
+        return tasks
+
+    async def stop(self) -> None:
+        """End all tasks of this leadership."""
+        await asyncio.gather(*self.cancel(), return_exceptions=True)
+
+    def call_successor(self) -> None:
+        """Ask the voter that holds most to take over, once it holds all."""
+        voters = (
+            peer
+            for peer in self.peers.values()
+            if peer.controller.voter and self.is_counted(peer) and self.is_heard(peer)
+        )
+        successor = max(voters, key=lambda peer: peer.match_index, default=None)
+        if successor and successor.match_index == self.core.log.last_index:
+            successor.campaign = True
+            successor.wake.set()
+
+    def dump_peers(self) -> dict[str, object]:
+        """Return what is known of each peer as JSON values."""
+        now_s = self.core.get_time_s()
+        return {
+            name: {
+                "match_index": peer.match_index,
+                "next_index": peer.next_index,
+                "silent_ms": round((now_s - peer.heard_s) * 1000),
+                "counted": self.is_counted(peer),
+            }
+            for name, peer in self.peers.items()
+        }
+
+    def append(self, change: state_pb2.Change) -> int:
+        """Append a change to the log; returns its index."""
+        index = self.core.log.last_index + 1
+        self.core.append(
+            [agreement_pb2.LogEntry(index=index, term=self.term, change=change)]
+        )
+        if change.WhichOneof("kind") == "put_controllers":
+            self.update_peers()
+        self.wake_peers()
+        return index
+
+    def wake_peers(self) -> None:
+        """Hand over at once what is new."""
+        for peer in self.peers.values():
+            peer.wake.set()
+
+    def update_peers(self) -> None:
+        """Start and end the tasks of peers as the configuration says."""
+        configuration = self.core.configuration
+        for name in [name for name in self.peers if name not in configuration]:
+            gone = self.peers.pop(name)
+            if gone.task is not None:
+                gone.task.cancel()
+        for name, controller in configuration.items():
+            if name == self.core.name:
+                continue
+            if name in self.peers:
+                self.peers[name].controller = controller
+                continue
+            next_index = self.core.log.last_index + 1
+            peer = Peer(controller, next_index, self.core.get_time_s())
+            self.peers[name] = peer
+            peer.task = asyncio.create_task(
+                self.replicate(peer), name=f"replicate {name}"
+            )
+
+    def is_counted(self, peer: Peer) -> bool:
+        """Tell whether a peer answered with the folder it was admitted with."""
+        member = self.core.configuration.get(peer.controller.name)
+        return (
+            member is not None
+            and member.disk_id == peer.disk_id
+            and peer.disk_id != peer.distrusted_disk_id
+        )
+
+    def list_ready(self) -> Iterator[str]:
+        """Return the peers that hold, synced, all that is committed."""
+        return (
+            name
+            for name, peer in self.peers.items()
+            if self.is_counted(peer)
+            and self.is_heard(peer)
+            and peer.match_index >= self.core.commit_index
+        )
+
+    def is_heard(self, peer: Peer) -> bool:
+        """Tell whether a peer confirmed a request lately."""
+        return self.core.get_time_s() - peer.heard_s < QUORUM_TIMEOUT_S
+
+    def has_quorum(self) -> bool:
+        """Tell whether a majority confirmed this leader lately."""
+        heard = {
+            name
+            for name, peer in self.peers.items()
+            if self.is_heard(peer)
+            # Silent ones get the benefit of the doubt until the timeout.
+            and (peer.disk_id == 0 or self.is_counted(peer))
+        }
+        return has_majority(self.core.configuration, heard | {self.core.name})
+
+    async def watch_quorum(self) -> None:
+        """Step down when no majority confirms this leader any more."""
+        while self.is_current:
+            await asyncio.sleep(QUORUM_CHECK_INTERVAL_S)
+            if self.core.storage.failure is not None:
+                await self.step_down(str(self.core.storage.failure))
+            elif not self.has_quorum():
+                await self.step_down("no majority confirms")
+            elif self.is_open and not self.core.is_voter:
+                await self.step_down("not a voter")
+
+    async def step_down(self, reason: str) -> None:
+        """Stop leading; the term stays."""
+        core = self.core
+        async with core.lock:
+            if not self.is_current:
+                return
+            log.warning("stepped down", term=self.term, reason=reason)
+            core.counters.add("agreement_step_downs")
+            core.leader = ""
+            core.leader_address = ""
+            core.change_role(Role.FOLLOWER)
+
+    async def watch_syncs(self) -> None:
+        """Count this replica's own syncs towards the majority."""
+        changed = self.core.log.changed
+        counted = -1
+        while self.is_current:
+            async with changed:
+                await changed.wait_for(
+                    lambda: self.core.log.synced_index != counted  # noqa: B023
+                )
+            counted = self.core.log.synced_index
+            self.advance_commit()
+
+    def advance_commit(self) -> None:
+        """Commit what a majority holds, if it includes an entry of this term."""
+        core = self.core
+        if not self.is_current:
+            return
+        indexes = {
+            name: peer.match_index
+            for name, peer in self.peers.items()
+            if self.is_counted(peer)
+        }
+        if core.is_voter:
+            indexes[core.name] = core.log.synced_index
+        index = find_majority_index(core.configuration, indexes)
+        if index <= core.commit_index or core.log.get_term(index) != self.term:
+            return
+        core.commit(index)
+        self.wake_peers()
+
+    async def replicate(self, peer: Peer) -> None:
+        """Hand over entries, snapshots and heartbeats to one peer."""
+        while self.is_current:
+            peer.wake.clear()
+            sent_s = self.core.get_time_s()
+            try:
+                reply = await self.send(peer)
+            except TransportError:
+                self.core.counters.add("agreement_call_errors", "append")
+                await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+                continue
+            await self.take_reply(peer, reply, sent_s)
+            if peer.next_index > self.core.log.last_index or not reply.success:
+                await self.wait_work(peer, reply.success)
+
+    async def wait_work(self, peer: Peer, success: bool) -> None:
+        """Return when there is something to hand over, or for a heartbeat."""
+        if not success and peer.next_index <= self.core.log.last_index:
+            # Goes on at once from where the logs agree.
+            await asyncio.sleep(0)
+            return
+        try:
+            await asyncio.wait_for(peer.wake.wait(), HEARTBEAT_INTERVAL_S)
+        except TimeoutError:
+            return
+
+    async def send(self, peer: Peer) -> agreement_pb2.AppendReply:
+        """Send what the peer needs next; returns its answer."""
+        if peer.next_index <= self.core.log.base_index:
+            return await self.send_snapshot(peer)
+        return await self.send_entries(peer)
+
+    async def send_entries(self, peer: Peer) -> agreement_pb2.AppendReply:
+        """Send entries, or none as a heartbeat."""
+        core = self.core
+        previous_index = peer.next_index - 1
+        request = agreement_pb2.AppendRequest(
+            term=self.term,
+            leader=core.name,
+            leader_address=core.settings.control_address,
+            previous_index=previous_index,
+            previous_term=core.log.get_term(previous_index) or 0,
+            entries=core.log.get_entries(peer.next_index, MAXIMUM_BATCH_BYTES),
+            commit_index=core.commit_index,
+            distrusted_disk_id=peer.distrusted_disk_id,
+            campaign=peer.campaign,
+        )
+        return await core.transport.append_entries(
+            peer.controller.control_address, request, APPEND_TIMEOUT_S
+        )
+
+    async def send_snapshot(self, peer: Peer) -> agreement_pb2.AppendReply:
+        """Send the applied state in parts."""
+        core = self.core
+        data = encode_replicated(core.state).SerializeToString()
+        index = core.applied_index
+        chunks = [
+            agreement_pb2.SnapshotChunk(
+                term=self.term,
+                leader=core.name,
+                leader_address=core.settings.control_address,
+                last_index=index,
+                last_term=core.log.get_term(index) or 0,
+                data=data[start : start + SNAPSHOT_CHUNK_BYTES],
+            )
+            for start in range(0, len(data), SNAPSHOT_CHUNK_BYTES)
+        ]
+        core.counters.add("agreement_snapshots", "sent")
+        return await core.transport.install_snapshot(
+            peer.controller.control_address, chunks, SNAPSHOT_TIMEOUT_S
+        )
+
+    async def take_reply(
+        self, peer: Peer, reply: agreement_pb2.AppendReply, sent_s: float
+    ) -> None:
+        """Take note of what a peer answered."""
+        if reply.term > self.term:
+            await self.observe_term(reply.term)
+            return
+        if not self.is_current or reply.term < self.term:
+            return
+        if reply.disk_id != peer.disk_id:
+            peer.disk_id = reply.disk_id
+            peer.match_index = 0
+        peer.heard_s = sent_s
+        if reply.success:
+            peer.match_index = max(peer.match_index, reply.match_index)
+            peer.next_index = peer.match_index + 1
+            self.advance_commit()
+            return
+        if reply.match_index < peer.match_index:
+            log.error("peer lost confirmed entries", peer=peer.controller.name)
+            self.core.counters.add("agreement_unknown_disks", "append")
+            peer.distrusted_disk_id = peer.disk_id
+            peer.match_index = 0
+        peer.next_index = min(reply.match_index + 1, self.core.log.last_index + 1)
+
+    async def observe_term(self, term: int) -> None:
+        """Enter a later term that a peer is in, and stop leading."""
+        core = self.core
+        async with core.lock:
+            if term <= core.term:
+                return
+            try:
+                await core.adopt_term(term)
+            except StorageError as error:
+                log.error("term not synced", failure=error)
--- /dev/null
+++ b/src/lentilfork/agreement/log.py
@@ -0,0 +1,191 @@
+"""The log of one replica: entries in memory, written to disk by one task.
+
+Entries are appended in memory at once and written in batches: while one batch is
+synced, the next one gathers. `synced_index` tells up to where memory and disk
+are known to agree; only that counts.
+"""
+
+import asyncio
+from collections.abc import Sequence
+from typing import Final
+
+from lentilfork.agreement.storage import Storage
+from lentilfork.agreement.storage import StorageError
+from lentilfork.agreement.storage import StoredLog
+from lentilfork.schema import agreement_pb2
+
+__all__ = ["Log"]
+
+# Entries kept before a snapshot, so that a follower a little behind needs none.
+TRAILING_ENTRIES: Final = 512
+
+
+class Log:
+    """Entries after a base, in memory and on disk."""
+
+    storage: Storage
+    # The last entry not held: index and term.
+    base_index: int
+    base_term: int
+    entries: list[agreement_pb2.LogEntry]
+    snapshot: agreement_pb2.StoredSnapshot | None
+    # Not yet handed to the disk; replaces what the disk holds from its first on.
+    pending: list[agreement_pb2.LogEntry]
+    # Memory and disk agree up to this index.
+    synced_index: int
+    # Guards the file in use: one write at a time.
+    write_lock: asyncio.Lock
+    # Set when there is something to write.
+    wake: asyncio.Event
+    # Notified when `synced_index` or the storage's failure changes.
+    changed: asyncio.Condition
+
+    def __init__(self, storage: Storage, stored: StoredLog) -> None:
+        self.storage = storage
+        self.base_index = stored.base_index
+        self.base_term = stored.base_term
+        self.entries = stored.entries
+        self.snapshot = stored.snapshot
+        self.pending = []
+        self.synced_index = self.last_index
+        self.write_lock = asyncio.Lock()
+        self.wake = asyncio.Event()
+        self.changed = asyncio.Condition()
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry in memory."""
+        return self.base_index + len(self.entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry in memory."""
+        return self.entries[-1].term if self.entries else self.base_term
+
+    def get_term(self, index: int) -> int | None:
+        """Return the term of an entry, None if the log does not hold it."""
+        if index == self.base_index:
+            return self.base_term
+        position = index - self.base_index - 1
+        if 0 <= position < len(self.entries):
+            return self.entries[position].term
+        return None
+
+    def get_entries(
+        self, first: int, maximum_bytes: int
+    ) -> list[agreement_pb2.LogEntry]:
+        """Return entries from an index on, one at least, up to a size."""
+        taken: list[agreement_pb2.LogEntry] = []
+        total = 0
+        for entry in self.entries[first - self.base_index - 1 :]:
+            total += entry.ByteSize()
+            if taken and total > maximum_bytes:
+                break
+            taken.append(entry)
+        return taken
+
+    def append(self, entries: Sequence[agreement_pb2.LogEntry]) -> None:
+        """Append entries; those kept from the first one's index on are dropped."""
+        if not entries:
+            return
+        first = entries[0].index
+        position = first - self.base_index - 1
+        if position < len(self.entries):
+            del self.entries[position:]
+            self.pending = [entry for entry in self.pending if entry.index < first]
+        self.synced_index = min(self.synced_index, first - 1)
+        self.entries.extend(entries)
+        self.pending.extend(entries)
+        self.wake.set()
+
+    async def write_entries(self) -> None:
+        """Write pending entries for as long as the replica runs."""
+        while True:
+            await self.wake.wait()
+            self.wake.clear()
+            async with self.write_lock:
+                await self.write_pending()
+            await self.notify()
+
+    async def write_pending(self) -> None:
+        """Write what is pending as one batch; a failure leaves it uncounted."""
+        batch, self.pending = self.pending, []
+        if not batch:
+            return
+        try:
+            await self.storage.append_entries(batch)
+        except StorageError:
+            # `recover` writes the whole log anew.
+            return
+        self.mark_synced()
+
+    def mark_synced(self) -> None:
+        """Count everything before the first pending entry as synced."""
+        self.synced_index = (
+            self.pending[0].index - 1 if self.pending else self.last_index
+        )
+
+    async def notify(self) -> None:
+        """Wake those who wait for a sync."""
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def wait_synced(self, index: int) -> None:
+        """Return once the entry of an index is synced; StorageError on failure."""
+        async with self.changed:
+            await self.changed.wait_for(
+                lambda: (
+                    self.synced_index >= index
+                    or self.last_index < index
+                    or self.storage.failure is not None
+                )
+            )
+        self.storage.check_writable()
+
+    async def compact(self, snapshot: agreement_pb2.StoredSnapshot) -> None:
+        """Keep a snapshot and drop the entries well before it."""
+        async with self.write_lock:
+            base = max(self.base_index, snapshot.last_index - TRAILING_ENTRIES)
+            term = self.get_term(base)
+            if term is None:
+                return
+            del self.entries[: base - self.base_index]
+            self.base_index, self.base_term = base, term
+            await self.rewrite(snapshot)
+
+    async def install(self, snapshot: agreement_pb2.StoredSnapshot) -> None:
+        """Keep a leader's snapshot; entries that contradict it are dropped."""
+        async with self.write_lock:
+            if self.get_term(snapshot.last_index) != snapshot.last_term:
+                self.entries.clear()
+                self.base_index = snapshot.last_index
+                self.base_term = snapshot.last_term
+            await self.rewrite(snapshot)
+
+    async def rewrite(
+        self,
+        snapshot: agreement_pb2.StoredSnapshot | None,
+        recovering: bool = False,
+    ) -> None:
+        """Write everything to new files; the write lock is held."""
+        changed = recovering or snapshot is not self.snapshot
+        self.snapshot = snapshot
+        self.pending = []
+        self.synced_index = min(self.synced_index, self.last_index)
+        stored = StoredLog(
+            self.base_index, self.base_term, list(self.entries), snapshot
+        )
+        try:
+            await self.storage.rewrite(stored, changed, recovering)
+            self.mark_synced()
+        finally:
+            await self.notify()
+
+    async def recover(self) -> bool:
+        """Write everything anew after a failed write; tells whether it worked."""
+        async with self.write_lock:
+            try:
+                await self.rewrite(self.snapshot, recovering=True)
+            except StorageError:
+                return False
+        return True
--- /dev/null
+++ b/src/lentilfork/agreement/proposals.py
@@ -0,0 +1,229 @@
+"""Proposals: from a change to its answer.
+
+A change is tried again with its id until the timeout: locally while this replica
+leads, else at the leader it knows. Resending is safe because the first answer to
+an id is part of the replicated state.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+from result import Err
+from result import Ok
+from result import Result
+
+from lentilfork.agreement.core import Core
+from lentilfork.agreement.core import Role
+from lentilfork.agreement.core import read_wall_clock_ms
+from lentilfork.agreement.leadership import Leadership
+from lentilfork.agreement.transport import TransportError
+from lentilfork.agreement.voters import check_transition
+from lentilfork.agreement.voters import encode_configuration
+from lentilfork.errors import Failure
+from lentilfork.schema import agreement_pb2
+from lentilfork.schema import state_pb2
+from lentilfork.state.codec import decode_controller
+from lentilfork.state.model import Controller
+from lentilfork.state.validation import check_controllers
+
+__all__ = ["PROPOSE_TIMEOUT_S", "Proposals", "ProposeFailure"]
+
+# Leaves time for the answer to arrive within 5 s.
+PROPOSE_TIMEOUT_S: Final = 4.5
+FORWARD_TIMEOUT_S: Final = 1.5
+RETRY_INTERVAL_S: Final = 0.05
+MAXIMUM_PENDING: Final = 1_024
+STEP: Final = "propose change"
+
+
+@dataclass(frozen=True, slots=True)
+class ProposeFailure:
+    """Why a change has no answer."""
+
+    failure: Failure
+    # True: it may have been accepted; resend with the same id. False: it was not
+    # accepted and will not be.
+    unknown: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Pending:
+    """A change in the log of this leader that waits to be applied."""
+
+    term: int
+    # The answer; None when leadership ended and the outcome is unknown.
+    answer: "asyncio.Future[state_pb2.ChangeResult | None]"
+
+
+class Proposals:
+    """The changes proposed at one replica."""
+
+    core: Core
+    # Returns the leadership of this replica, None if it does not lead.
+    get_leadership: Callable[[], Leadership | None]
+    # Changes in the log of this leader, by index.
+    pending: dict[int, Pending]
+
+    def __init__(
+        self, core: Core, get_leadership: Callable[[], Leadership | None]
+    ) -> None:
+        self.core = core
+        self.get_leadership = get_leadership
+        self.pending = {}
+        core.apply_listeners.append(self.resolve)
+        core.role_listeners.append(self.abandon)
+
+    def resolve(
+        self, entry: agreement_pb2.LogEntry, result: state_pb2.ChangeResult | None
+    ) -> None:
+        """Answer the change at an index that was applied."""
+        waiting = self.pending.pop(entry.index, None)
+        if waiting is None or waiting.answer.done():
+            return
+        waiting.answer.set_result(result if entry.term == waiting.term else None)
+
+    def abandon(self, role: Role) -> None:
+        """End the waits: this replica no longer leads, the outcome is unknown."""
+        if role is Role.LEADER:
+            return
+        for waiting in self.pending.values():
+            if not waiting.answer.done():
+                waiting.answer.set_result(None)
+        self.pending.clear()
+
+    async def propose(
+        self, change: state_pb2.Change, timeout_s: float
+    ) -> Result[state_pb2.ChangeResult, ProposeFailure]:
+        """Return the answer to a change, wherever the leader is."""
+        core = self.core
+        numbered = state_pb2.Change()
+        numbered.CopyFrom(change)
+        if not numbered.change_id:
+            numbered.change_id = f"{core.name}-{core.random.getrandbits(64):016x}"
+        deadline_s = core.get_time_s() + timeout_s
+        unknown = False
+        reason = "no leader is known"
+        while (remaining_s := deadline_s - core.get_time_s()) > 0:
+            reply = await self.try_once(numbered, remaining_s)
+            body = reply.WhichOneof("body")
+            if body == "result":
+                return Ok(reply.result)
+            unknown = unknown or body == "unknown"
+            reason = reply.unknown or reply.refused or "no leader is known"
+            pause_s = min(RETRY_INTERVAL_S, max(deadline_s - core.get_time_s(), 0))
+            await asyncio.sleep(pause_s)
+        if unknown:
+            reason = f"{reason}; resend with change id {numbered.change_id}"
+        failure = Failure(STEP, core.leader_address or "-", reason)
+        return Err(ProposeFailure(failure, unknown))
+
+    async def try_once(
+        self, change: state_pb2.Change, timeout_s: float
+    ) -> agreement_pb2.ProposeReply:
+        """Try a change here or at the leader, once."""
+        core = self.core
+        known = core.state.find_result(change.change_id)
+        if known is not None:
+            return agreement_pb2.ProposeReply(result=known)
+        if core.role is Role.LEADER:
+            return await self.submit(change, timeout_s)
+        if not core.leader_address:
+            return agreement_pb2.ProposeReply(refused="no leader is known")
+        return await self.forward(change, min(timeout_s, FORWARD_TIMEOUT_S))
+
+    async def forward(
+        self, change: state_pb2.Change, timeout_s: float
+    ) -> agreement_pb2.ProposeReply:
+        """Pass a change to the leader."""
+        core = self.core
+        address = core.leader_address
+        try:
+            return await core.transport.propose(address, change, timeout_s)
+        except TransportError as error:
+            core.counters.add("agreement_call_errors", "propose")
+            return agreement_pb2.ProposeReply(unknown=f"{address}: {error}")
+
+    async def submit(
+        self, change: state_pb2.Change, timeout_s: float
+    ) -> agreement_pb2.ProposeReply:
+        """Write a change to the log of this leader and wait until it is applied."""
+        core = self.core
+        known = core.state.find_result(change.change_id)
+        if known is not None:
+            return agreement_pb2.ProposeReply(result=known)
+        leadership = self.get_leadership()
+        if leadership is None:
+            return agreement_pb2.ProposeReply(leader_address=core.leader_address)
+        if core.storage.failure is not None:
+            return agreement_pb2.ProposeReply(refused=str(core.storage.failure))
+        if not leadership.is_open or leadership.leaving:
+            return agreement_pb2.ProposeReply(refused="the leader is changing")
+        if len(self.pending) >= MAXIMUM_PENDING:
+            return agreement_pb2.ProposeReply(refused="too many changes are waiting")
+        entry = state_pb2.Change()
+        entry.CopyFrom(change)
+        entry.time_ms = read_wall_clock_ms()
+        problem = self.prepare_controllers(leadership, entry)
+        if problem:
+            return agreement_pb2.ProposeReply(
+                result=state_pb2.ChangeResult(
+                    change_id=change.change_id,
+                    outcome=state_pb2.INVALID,
+                    generation=core.state.cluster.generation,
+                    message=problem,
+                )
+            )
+        return await self.wait_applied(leadership, entry, timeout_s)
+
+    async def wait_applied(
+        self, leadership: Leadership, change: state_pb2.Change, timeout_s: float
+    ) -> agreement_pb2.ProposeReply:
+        """Append a change and wait for its answer."""
+        answer: asyncio.Future[state_pb2.ChangeResult | None]
+        answer = asyncio.get_running_loop().create_future()
+        index = leadership.append(change)
+        self.pending[index] = Pending(leadership.term, answer)
+        try:
+            result = await asyncio.wait_for(answer, timeout_s)
+        except TimeoutError:
+            result = None
+        finally:
+            self.pending.pop(index, None)
+        if result is not None:
+            return agreement_pb2.ProposeReply(result=result)
+        return agreement_pb2.ProposeReply(
+            unknown="written to the log, not confirmed by a majority"
+        )
+
+    def prepare_controllers(
+        self, leadership: Leadership, change: state_pb2.Change
+    ) -> str:
+        """Complete a change of the controllers; returns why it is refused, or ""."""
+        core = self.core
+        if change.WhichOneof("kind") != "put_controllers":
+            return ""
+        if core.configurations.current_index > core.commit_index:
+            return "an earlier change of the controllers is not committed yet"
+        problem = check_controllers(change.put_controllers)
+        if problem:
+            return problem
+        # Leaves nothing for which applying it could refuse the entry.
+        change.ClearField("expected_version")
+        members = map(decode_controller, change.put_controllers.controllers)
+        completed = {item.name: complete_disk_id(item, leadership) for item in members}
+        change.put_controllers.CopyFrom(encode_configuration(completed.values()))
+        return check_transition(
+            core.configuration, completed, core.name, leadership.list_ready()
+        )
+
+
+def complete_disk_id(controller: Controller, leadership: Leadership) -> Controller:
+    """Return a controller with the data folder it is known by, if none is given."""
+    known = leadership.core.configuration.get(controller.name)
+    if controller.disk_id or known is None:
+        return controller
+    return Controller(
+        controller.name, controller.control_address, controller.voter, known.disk_id
+    )
--- /dev/null
+++ b/src/lentilfork/agreement/replica.py
@@ -0,0 +1,347 @@
+"""One replica of the controllers' majority log: its life cycle and interface.
+
+Everything outside this package uses `Replica` alone. The parts stand in their
+own modules: `election`, `following`, `leadership`, `proposals` and `joining`
+share one `Core`; `log` and `storage` keep what must last.
+"""
+
+import asyncio
+from collections.abc import Coroutine
+from random import Random
+from typing import Any
+from typing import Final
+
+from result import Err
+from result import Ok
+from result import Result
+
+from lentilfork.agreement.core import ApplyListener
+from lentilfork.agreement.core import Core
+from lentilfork.agreement.core import Role
+from lentilfork.agreement.core import StateListener
+from lentilfork.agreement.core import log
+from lentilfork.agreement.election import Election
+from lentilfork.agreement.files import Files
+from lentilfork.agreement.files import OsFiles
+from lentilfork.agreement.following import Following
+from lentilfork.agreement.joining import Joining
+from lentilfork.agreement.leadership import HEARTBEAT_INTERVAL_S
+from lentilfork.agreement.leadership import Leadership
+from lentilfork.agreement.log import Log
+from lentilfork.agreement.proposals import PROPOSE_TIMEOUT_S
+from lentilfork.agreement.proposals import Proposals
+from lentilfork.agreement.proposals import ProposeFailure
+from lentilfork.agreement.servicer import AgreementServicer
+from lentilfork.agreement.storage import Storage
+from lentilfork.agreement.storage import StorageError
+from lentilfork.agreement.storage import StoredLog
+from lentilfork.agreement.transport import GrpcTransport
+from lentilfork.agreement.transport import Transport
+from lentilfork.agreement.voters import Configurations
+from lentilfork.channels import Channels
+from lentilfork.counters import Counters
+from lentilfork.errors import Failure
+from lentilfork.schema import agreement_pb2
+from lentilfork.schema import state_pb2
+from lentilfork.settings import ControllerSettings
+from lentilfork.state import ReplicatedState
+from lentilfork.state import encode_replicated
+from lentilfork.state.snapshots import parse_replicated
+
+__all__ = ["Replica"]
+
+RECOVERY_INTERVAL_S: Final = 1.0
+COMPACTION_INTERVAL_S: Final = 1.0
+COMPACTION_ENTRIES: Final = 4_096
+COMPACTION_BYTES: Final = 4 * 1024 * 1024
+TRANSFER_TIMEOUT_S: Final = 2.0
+
+
+class Replica:
+    """One controller's part in the agreement.
+
+    Register `servicer` on the process's gRPC server and start that server before
+    `start`, or soon after it: peers answer only once they are reached.
+    """
+
+    settings: ControllerSettings
+    counters: Counters
+    core: Core
+    election: Election
+    following: Following
+    proposals: Proposals
+    joining: Joining
+    servicer: AgreementServicer
+    # The term in which this replica leads; None while it does not.
+    leadership: Leadership | None
+    # Whether `start` succeeded and `stop` was not called.
+    running: bool
+    tasks: list[asyncio.Task[None]]
+
+    def __init__(
+        self,
+        settings: ControllerSettings,
+        channels: Channels,
+        counters: Counters,
+        randomness: Random,
+        *,
+        transport: Transport | None = None,
+        files: Files | None = None,
+    ) -> None:
+        self.settings = settings
+        self.counters = counters
+        storage = Storage(files or OsFiles(settings.data_folder))
+        transport = transport or GrpcTransport(channels)
+        self.core = Core(settings, transport, counters, randomness, storage)
+        self.core.log = Log(storage, StoredLog())
+        self.election = Election(self.core, self.lead)
+        self.following = Following(self.core, self.election)
+        self.proposals = Proposals(self.core, lambda: self.leadership)
+        self.joining = Joining(self.core, self.proposals, lambda: self.leadership)
+        self.servicer = AgreementServicer(self)
+        self.leadership = None
+        self.running = False
+        self.tasks = []
+        self.core.role_listeners.append(self.end_leadership)
+
+    @property
+    def state(self) -> ReplicatedState:
+        """The state applied here; never newer than what a majority holds."""
+        return self.core.state
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this replica leads and a majority confirmed it lately."""
+        leadership = self.leadership
+        return leadership is not None and leadership.is_open and leadership.has_quorum()
+
+    @property
+    def leader_address(self) -> str | None:
+        """The leader's "ip:port", None while none is known."""
+        return self.core.leader_address or None
+
+    @property
+    def term(self) -> int:
+        """The term this replica is in."""
+        return self.core.term
+
+    @property
+    def failure(self) -> Failure | None:
+        """Why the disk takes no writes at present; None when all is well."""
+        return self.core.storage.failure
+
+    def subscribe(self, listener: StateListener) -> None:
+        """Call a function with the states before and after each generation.
+
+        It runs within the event loop and must neither block nor raise.
+        """
+        self.core.listeners.append(listener)
+
+    def subscribe_applied(self, listener: ApplyListener) -> None:
+        """Call a function with each applied entry and the answer to its change."""
+        self.core.apply_listeners.append(listener)
+
+    async def start(self) -> Result[None, Failure]:
+        """Open the data folder and start the tasks; a failure leaves none open."""
+        core = self.core
+        opened = await core.storage.open()
+        loaded = opened.and_then(self.load)
+        if isinstance(loaded, Err):
+            core.storage.close()
+            return loaded
+        if core.storage.renewed:
+            log.error("data folder is a copy; this controller must be admitted anew")
+            self.counters.add("agreement_unknown_disks", "own")
+        core.leader_heard_s = core.get_time_s()
+        self.running = True
+        self.tasks = [
+            self.run_task(core.log.write_entries(), "write log"),
+            self.run_task(self.election.run(), "elections"),
+            self.run_task(self.joining.run(), "joining"),
+            self.run_task(self.compact_log(), "compaction"),
+            self.run_task(self.recover_disk(), "disk recovery"),
+        ]
+        return Ok(None)
+
+    def run_task(
+        self, work: Coroutine[Any, Any, None], name: str
+    ) -> asyncio.Task[None]:
+        """Start a task; one that ends by an error is logged."""
+        task = asyncio.create_task(work, name=name)
+        task.add_done_callback(report_failed_task)
+        return task
+
+    def load(self, stored: StoredLog) -> Result[None, Failure]:
+        """Take over what the data folder holds."""
+        core = self.core
+        core.term = core.storage.vote.term
+        core.voted_for = core.storage.vote.candidate
+        core.log = Log(core.storage, stored)
+        index = 0
+        if stored.snapshot is not None:
+            peer = core.storage.files.location
+            state = parse_replicated(stored.snapshot.data, peer)
+            if isinstance(state, Err):
+                return state
+            index = stored.snapshot.last_index
+            core.restore(index, state.ok_value)
+        core.configurations = Configurations(index, core.state.cluster.controllers)
+        core.configurations.add_entries(
+            entry for entry in stored.entries if entry.index > index
+        )
+        # An entry may have outlived the vote file; its term is past in any case.
+        core.term = max(core.term, core.log.last_term)
+        return Ok(None)
+
+    async def stop(self) -> None:
+        """End all tasks and give the data folder back."""
+        if not self.running:
+            return
+        self.running = False
+        await self.servicer.stop()
+        leadership, self.leadership = self.leadership, None
+        if leadership is not None:
+            await leadership.stop()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.core.storage.close()
+
+    def lead(self) -> None:
+        """Begin to lead; the lock is held."""
+        core = self.core
+        core.leader = core.name
+        core.leader_address = core.settings.control_address
+        core.change_role(Role.LEADER)
+        self.leadership = Leadership(core)
+        self.leadership.start()
+
+    def end_leadership(self, role: Role) -> None:
+        """End the tasks of a leadership that is over."""
+        leadership = self.leadership
+        if role is Role.LEADER or leadership is None:
+            return
+        self.leadership = None
+        leadership.cancel()
+
+    async def step_down(self) -> None:
+        """Hand leadership to the voter that holds most; returns once done.
+
+        Called before a graceful stop. Without another voter that catches up in
+        `TRANSFER_TIMEOUT_S` it just stops leading.
+        """
+        leadership = self.leadership
+        if leadership is None:
+            return
+        leadership.leaving = True
+        deadline_s = self.core.get_time_s() + TRANSFER_TIMEOUT_S
+        while leadership.is_current and self.core.get_time_s() < deadline_s:
+            leadership.call_successor()
+            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+        await leadership.step_down("leaving")
+
+    async def propose(
+        self, change: state_pb2.Change, timeout_s: float = PROPOSE_TIMEOUT_S
+    ) -> Result[state_pb2.ChangeResult, ProposeFailure]:
+        """Return the answer to a change once it is applied here or at the leader.
+
+        A change without id gets one. `ProposeFailure.unknown` tells whether it
+        may yet be accepted.
+        """
+        return await self.proposals.propose(change, timeout_s)
+
+    async def submit(
+        self, change: state_pb2.Change, timeout_s: float | None
+    ) -> agreement_pb2.ProposeReply:
+        """Take a change that another replica passed on."""
+        limit_s = PROPOSE_TIMEOUT_S if timeout_s is None else timeout_s
+        return await self.proposals.submit(change, min(limit_s, PROPOSE_TIMEOUT_S))
+
+    def identify(self) -> agreement_pb2.IdentifyReply:
+        """Return the name of this replica and of its data folder."""
+        return agreement_pb2.IdentifyReply(
+            name=self.core.name,
+            disk_id=self.core.storage.disk_id,
+            fresh=self.running and self.core.is_fresh,
+        )
+
+    async def compact_log(self) -> None:
+        """Replace the log by a snapshot whenever it has grown long."""
+        core = self.core
+        while True:
+            await asyncio.sleep(COMPACTION_INTERVAL_S)
+            snapshot = core.log.snapshot
+            kept = snapshot.last_index if snapshot else 0
+            grown = core.applied_index - kept >= COMPACTION_ENTRIES
+            if grown or core.storage.log_bytes >= COMPACTION_BYTES:
+                await self.write_snapshot()
+
+    async def write_snapshot(self) -> None:
+        """Write a snapshot of the applied state and drop the log before it."""
+        core = self.core
+        index = core.applied_index
+        term = core.log.get_term(index)
+        if term is None or core.storage.failure is not None:
+            return
+        data = encode_replicated(core.state).SerializeToString()
+        snapshot = agreement_pb2.StoredSnapshot(
+            last_index=index, last_term=term, data=data
+        )
+        core.configurations.forget_before(index)
+        try:
+            await core.log.compact(snapshot)
+        except StorageError as error:
+            log.error("snapshot not written", failure=error)
+            return
+        self.counters.add("agreement_snapshots", "written")
+
+    async def recover_disk(self) -> None:
+        """Try to write everything anew after a write failed."""
+        core = self.core
+        known: Failure | None = None
+        while True:
+            await asyncio.sleep(RECOVERY_INTERVAL_S)
+            failure = core.storage.failure
+            if failure is not None and known is None:
+                log.error("disk takes no writes; not voting", failure=failure)
+                self.counters.add("agreement_disk_failures")
+            known = failure
+            if failure is not None and await core.log.recover():
+                log.info("disk takes writes again")
+
+    def dump(self) -> dict[str, object]:
+        """Return the state of the agreement as JSON values."""
+        core = self.core
+        leadership = self.leadership
+        return {
+            "name": core.name,
+            "role": core.role.value,
+            "voter": core.is_voter,
+            "term": core.term,
+            "voted_for": core.voted_for,
+            "leader": core.leader,
+            "leader_address": core.leader_address,
+            "disk_id": f"{core.storage.disk_id:016x}",
+            "disk_failure": str(core.storage.failure or ""),
+            "base_index": core.log.base_index,
+            "last_index": core.log.last_index,
+            "synced_index": core.log.synced_index,
+            "commit_index": core.commit_index,
+            "applied_index": core.applied_index,
+            "generation": core.state.cluster.generation,
+            "controllers": {
+                item.name: {
+                    "address": item.control_address,
+                    "voter": item.voter,
+                    "disk_id": f"{item.disk_id:016x}",
+                }
+                for item in core.configuration.values()
+            },
+            "peers": leadership.dump_peers() if leadership else {},
+        }
+
+
+def report_failed_task(task: asyncio.Task[None]) -> None:
+    """Log the error by which a task ended."""
+    if not task.cancelled() and task.exception() is not None:
+        log.critical("task failed", task=task.get_name(), error=repr(task.exception()))
--- /dev/null
+++ b/src/lentilfork/agreement/servicer.py
@@ -0,0 +1,100 @@
+"""The gRPC service by which other replicas reach this one.
+
+A call runs to its end even if its caller gives up, so that a vote or a batch of
+entries is never left half taken. A failed disk answers UNAVAILABLE.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Coroutine
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import TypeVar
+
+import grpc.aio
+
+from lentilfork.agreement.storage import StorageError
+from lentilfork.schema import agreement_pb2
+from lentilfork.schema import agreement_pb2_grpc
+from lentilfork.schema import state_pb2
+
+if TYPE_CHECKING:
+    from lentilfork.agreement.replica import Replica
+
+__all__ = ["AgreementServicer"]
+
+T = TypeVar("T")
+Context = Any
+
+
+class AgreementServicer(agreement_pb2_grpc.AgreementServicer):
+    """Hands the calls of other replicas to a replica."""
+
+    replica: "Replica"
+    # Calls under way.
+    running: set[asyncio.Task[Any]]
+
+    def __init__(self, replica: "Replica") -> None:
+        self.replica = replica
+        self.running = set()
+
+    async def finish(self, call: Coroutine[Any, Any, T], context: Context) -> T:
+        """Run a call to its end; a failed disk aborts it."""
+        if not self.replica.running:
+            call.close()
+            await context.abort(grpc.StatusCode.UNAVAILABLE, "not running")
+        task = asyncio.create_task(call)
+        self.running.add(task)
+        task.add_done_callback(self.running.discard)
+        try:
+            return await asyncio.shield(task)
+        except StorageError as error:
+            await context.abort(grpc.StatusCode.UNAVAILABLE, str(error))
+            raise
+
+    async def stop(self) -> None:
+        """End the calls under way."""
+        tasks = list(self.running)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def RequestVote(  # noqa: N802
+        self, request: agreement_pb2.VoteRequest, context: Context
+    ) -> agreement_pb2.VoteReply:
+        """Answer a candidate."""
+        return await self.finish(self.replica.election.handle_vote(request), context)
+
+    async def AppendEntries(  # noqa: N802
+        self, request: agreement_pb2.AppendRequest, context: Context
+    ) -> agreement_pb2.AppendReply:
+        """Take entries from the leader."""
+        return await self.finish(self.replica.following.handle_append(request), context)
+
+    async def InstallSnapshot(  # noqa: N802
+        self,
+        request_iterator: AsyncIterator[agreement_pb2.SnapshotChunk],
+        context: Context,
+    ) -> agreement_pb2.AppendReply:
+        """Take a snapshot from the leader."""
+        handler = self.replica.following.handle_snapshot(request_iterator)
+        return await self.finish(handler, context)
+
+    async def Propose(  # noqa: N802
+        self, request: state_pb2.Change, context: Context
+    ) -> agreement_pb2.ProposeReply:
+        """Take a change passed on by another replica."""
+        timeout_s = context.time_remaining()
+        return await self.finish(self.replica.submit(request, timeout_s), context)
+
+    async def Join(  # noqa: N802
+        self, request: agreement_pb2.JoinRequest, context: Context
+    ) -> agreement_pb2.JoinReply:
+        """Admit a replica, if this one leads."""
+        return await self.finish(self.replica.joining.handle_join(request), context)
+
+    async def Identify(  # noqa: N802
+        self, _request: agreement_pb2.IdentifyRequest, _context: Context
+    ) -> agreement_pb2.IdentifyReply:
+        """Name the data folder of this replica."""
+        return self.replica.identify()
--- /dev/null
+++ b/src/lentilfork/agreement/storage.py
@@ -0,0 +1,336 @@
+"""What one replica keeps on disk: identity, vote, log and snapshot.
+
+Files of the data folder, all of checksummed frames:
+
+- `identity`: the id drawn when the folder was made;
+- `seal`: inode and change time of `identity`, which a copy of it does not have;
+- `vote`: the term and whom this replica voted for in it;
+- `snapshot-INDEX`: the state after the entry of that index;
+- `log-NUMBER`: the entries after its base; only the highest number counts.
+
+Nothing counts before it was synced. After a failed write the content of the file
+written is unknown, so `failure` stays set until everything was written anew
+to another file.
+"""
+
+import secrets
+from collections.abc import Sequence
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Final
+from typing import TypeVar
+
+from google.protobuf.message import DecodeError
+from google.protobuf.message import Message
+from result import Err
+from result import Ok
+from result import Result
+
+from lentilfork.agreement.files import Files
+from lentilfork.agreement.frames import encode_frame
+from lentilfork.agreement.frames import scan_frames
+from lentilfork.errors import Failure
+from lentilfork.schema import agreement_pb2
+
+__all__ = ["Storage", "StorageError", "StoredLog"]
+
+IDENTITY: Final = "identity"
+SEAL: Final = "seal"
+VOTE: Final = "vote"
+LOG_PREFIX: Final = "log-"
+SNAPSHOT_PREFIX: Final = "snapshot-"
+TEMPORARY_SUFFIX: Final = ".tmp"
+MAXIMUM_DISK_ID: Final = 2**63 - 1
+
+M = TypeVar("M", bound=Message)
+
+
+class StorageError(Exception):
+    """A write or a sync failed; nothing of it counts."""
+
+    failure: Failure
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(str(failure))
+        self.failure = failure
+
+
+@dataclass(slots=True)
+class StoredLog:
+    """What the data folder held when it was opened."""
+
+    base_index: int = 0
+    base_term: int = 0
+    entries: list[agreement_pb2.LogEntry] = field(default_factory=list)
+    snapshot: agreement_pb2.StoredSnapshot | None = None
+
+
+class Storage:
+    """The data folder of one replica."""
+
+    files: Files
+    # Drawn when the folder was made, or when it proved to be a copy.
+    disk_id: int
+    vote: agreement_pb2.StoredVote
+    # Number of the log file in use.
+    log_number: int
+    # Bytes in the log file in use.
+    log_bytes: int
+    # Why writing fails at present; None when all is well.
+    failure: Failure | None
+    # The folder was a copy, or came without its identity, when it was opened.
+    renewed: bool
+
+    def __init__(self, files: Files) -> None:
+        self.files = files
+        self.disk_id = 0
+        self.vote = agreement_pb2.StoredVote()
+        self.log_number = 0
+        self.log_bytes = 0
+        self.failure = None
+        self.renewed = False
+
+    async def open(self) -> Result[StoredLog, Failure]:
+        """Lock the folder and read it; refuses damage, cuts a torn last frame."""
+        try:
+            self.files.open()
+        except BlockingIOError:
+            return self.refuse_open("in use by another process")
+        except OSError as error:
+            return self.refuse_open(error.strerror or str(error))
+        try:
+            return await self.read_folder()
+        except StorageError as error:
+            return Err(error.failure)
+        except OSError as error:
+            return self.refuse_open(error.strerror or str(error))
+
+    def refuse_open(self, message: str) -> Err[Failure]:
+        """Return the failure to open the folder."""
+        return Err(Failure("open data folder", self.files.location, message))
+
+    async def read_folder(self) -> Result[StoredLog, Failure]:
+        """Read all files of the folder and removes those no longer in use."""
+        names = self.files.list_names()
+        for name in names:
+            if name.endswith(TEMPORARY_SUFFIX):
+                self.files.remove(name)
+        if VOTE in names:
+            self.vote = self.read_message(VOTE, agreement_pb2.StoredVote())
+        stored = StoredLog()
+        snapshots = [name for name in names if is_numbered(name, SNAPSHOT_PREFIX)]
+        logs = [name for name in names if is_numbered(name, LOG_PREFIX)]
+        if snapshots:
+            message = agreement_pb2.StoredSnapshot()
+            stored.snapshot = self.read_message(snapshots[-1], message)
+        if logs:
+            self.read_log(logs[-1], stored)
+        for name in (*snapshots[:-1], *logs[:-1]):
+            self.files.remove(name)
+        await self.read_identity(names, fresh=not (VOTE in names or stored.entries))
+        problem = align_log(stored)
+        if problem:
+            return Err(Failure("read records", self.get_path(logs[-1]), problem))
+        return Ok(stored)
+
+    def get_path(self, name: str) -> str:
+        """Return a file's path for messages."""
+        return f"{self.files.location}/{name}"
+
+    def read_message(self, name: str, message: M) -> M:
+        """Read a file of one frame; StorageError if it is damaged."""
+        scan = scan_frames(self.files.read(name), self.get_path(name))
+        if isinstance(scan, Err):
+            raise StorageError(scan.err_value)
+        if len(scan.ok_value.payloads) != 1:
+            text = f"damaged record at offset {scan.ok_value.intact_bytes}"
+            raise StorageError(Failure("read records", self.get_path(name), text))
+        self.parse(name, scan.ok_value.payloads[0], message)
+        return message
+
+    def parse(self, name: str, payload: bytes, message: Message) -> None:
+        """Parse a payload into `message`; StorageError if it is malformed."""
+        try:
+            message.ParseFromString(payload)
+        except DecodeError as error:
+            failure = Failure("read records", self.get_path(name), str(error))
+            raise StorageError(failure) from error
+
+    def read_log(self, name: str, stored: StoredLog) -> None:
+        """Read a log file into `stored`; cuts a torn last frame."""
+        content = self.files.read(name)
+        scan = scan_frames(content, self.get_path(name))
+        if isinstance(scan, Err):
+            raise StorageError(scan.err_value)
+        if scan.ok_value.intact_bytes < len(content):
+            self.files.truncate(name, scan.ok_value.intact_bytes)
+        self.log_number = int(name.removeprefix(LOG_PREFIX))
+        self.log_bytes = scan.ok_value.intact_bytes
+        for number, payload in enumerate(scan.ok_value.payloads):
+            batch = agreement_pb2.StoredEntries()
+            self.parse(name, payload, batch)
+            if number == 0:
+                stored.base_index = batch.base_index
+                stored.base_term = batch.base_term
+            for entry in batch.entries:
+                self.put_entry(name, stored, entry)
+
+    def put_entry(
+        self, name: str, stored: StoredLog, entry: agreement_pb2.LogEntry
+    ) -> None:
+        """Put an entry at its index in place of those kept from there on."""
+        position = entry.index - stored.base_index - 1
+        if not 0 <= position <= len(stored.entries):
+            text = f"entry {entry.index} does not follow the one before it"
+            raise StorageError(Failure("read records", self.get_path(name), text))
+        stored.entries[position:] = [entry]
+
+    async def read_identity(self, names: Sequence[str], fresh: bool) -> None:
+        """Read the id of the folder; draws a new one if this is a copy."""
+        if IDENTITY in names and SEAL in names:
+            identity = self.read_message(IDENTITY, agreement_pb2.StoredIdentity())
+            seal = self.read_message(SEAL, agreement_pb2.StoredSeal())
+            mark = self.files.get_mark(IDENTITY)
+            if (seal.disk_id, mark) == (
+                identity.disk_id,
+                (seal.inode, seal.changed_ns),
+            ):
+                self.disk_id = identity.disk_id
+                return
+        self.renewed = not fresh or SEAL in names
+        await self.renew_identity()
+
+    async def renew_identity(self) -> None:
+        """Draw a new id for the folder; what it confirmed before counts no more."""
+        # Never from a seeded generator: an emptied folder must not get its old id.
+        disk_id = 1 + secrets.randbelow(MAXIMUM_DISK_ID)
+        identity = agreement_pb2.StoredIdentity(disk_id=disk_id)
+        await self.replace(IDENTITY, [identity])
+        inode, changed_ns = self.files.get_mark(IDENTITY)
+        seal = agreement_pb2.StoredSeal(
+            disk_id=disk_id, inode=inode, changed_ns=changed_ns
+        )
+        await self.replace(SEAL, [seal])
+        self.disk_id = disk_id
+
+    async def save_vote(self, term: int, candidate: str) -> None:
+        """Sync the term and the vote given in it; StorageError if that fails."""
+        self.vote = agreement_pb2.StoredVote(term=term, candidate=candidate)
+        await self.replace(VOTE, [self.vote])
+
+    async def append_entries(self, entries: Sequence[agreement_pb2.LogEntry]) -> None:
+        """Sync a batch of entries as one frame; StorageError if that fails."""
+        self.check_writable()
+        batch = agreement_pb2.StoredEntries(entries=entries)
+        data = encode_frame(batch.SerializeToString())
+        name = make_log_name(self.log_number)
+        try:
+            await self.files.append(name, data)
+        except OSError as error:
+            raise self.fail(name, error) from error
+        self.log_bytes += len(data)
+
+    async def rewrite(
+        self, stored: StoredLog, snapshot_changed: bool, recovering: bool = False
+    ) -> None:
+        """Write snapshot and log to new files, then remove the former ones.
+
+        Sequence matters: the snapshot is in place before a log that relies on it.
+        """
+        snapshot = stored.snapshot
+        snapshot_name = make_snapshot_name(snapshot.last_index) if snapshot else ""
+        if snapshot and snapshot_changed:
+            await self.replace(snapshot_name, [snapshot], recovering)
+        number = self.log_number + 1
+        first = agreement_pb2.StoredEntries(
+            base_index=stored.base_index,
+            base_term=stored.base_term,
+            entries=stored.entries,
+        )
+        self.log_bytes = await self.replace(make_log_name(number), [first], recovering)
+        self.log_number = number
+        if recovering:
+            await self.replace(VOTE, [self.vote], recovering)
+            self.failure = None
+        self.remove_others(snapshot_name, make_log_name(number))
+
+    def remove_others(self, snapshot_name: str, log_name: str) -> None:
+        """Remove snapshots and logs other than the ones named."""
+        kept = {snapshot_name, log_name}
+        for name in self.files.list_names():
+            numbered = is_numbered(name, SNAPSHOT_PREFIX) or is_numbered(
+                name, LOG_PREFIX
+            )
+            if numbered and name not in kept:
+                self.files.remove(name)
+
+    async def replace(
+        self, name: str, messages: Sequence[Message], recovering: bool = False
+    ) -> int:
+        """Put a file of frames in place; returns its bytes, or StorageError."""
+        if not recovering:
+            self.check_writable()
+        data = b"".join(
+            encode_frame(message.SerializeToString()) for message in messages
+        )
+        try:
+            await self.files.replace(name, data)
+        except OSError as error:
+            raise self.fail(name, error) from error
+        return len(data)
+
+    def check_writable(self) -> None:
+        """Raise StorageError if an earlier write failed."""
+        if self.failure is not None:
+            raise StorageError(self.failure)
+
+    def fail(self, name: str, error: OSError) -> StorageError:
+        """Remember a failed write and return the error to raise."""
+        message = error.strerror or str(error)
+        self.failure = Failure("sync", self.get_path(name), message)
+        return StorageError(self.failure)
+
+    def close(self) -> None:
+        """Close the files and give the folder back."""
+        self.files.close()
+
+
+def is_numbered(name: str, prefix: str) -> bool:
+    """Tell whether a name is the prefix and a number."""
+    return name.startswith(prefix) and name.removeprefix(prefix).isdigit()
+
+
+def make_log_name(number: int) -> str:
+    """Return the name of a log file."""
+    return f"{LOG_PREFIX}{number:016d}"
+
+
+def make_snapshot_name(index: int) -> str:
+    """Return the name of the snapshot after the entry of an index."""
+    return f"{SNAPSHOT_PREFIX}{index:020d}"
+
+
+def align_log(stored: StoredLog) -> str:
+    """Drop entries that contradict the snapshot; returns a problem or "".
+
+    A crash between writing the snapshot of another leader and the log that
+    belongs to it leaves a log that may hold other entries.
+    """
+    snapshot = stored.snapshot
+    if snapshot is None:
+        return "" if stored.base_index == 0 else "the snapshot it relies on is gone"
+    if stored.base_index > snapshot.last_index:
+        return "the snapshot it relies on is gone"
+    position = snapshot.last_index - stored.base_index
+    term = (
+        stored.base_term
+        if position == 0
+        else stored.entries[position - 1].term
+        if position <= len(stored.entries)
+        else None
+    )
+    if term != snapshot.last_term:
+        stored.base_index = snapshot.last_index
+        stored.base_term = snapshot.last_term
+        stored.entries.clear()
+    return ""
--- /dev/null
+++ b/src/lentilfork/agreement/voters.py
@@ -0,0 +1,139 @@
+"""Who votes: configurations of the controllers and the safe ways between them.
+
+A configuration takes effect when its entry is appended, not when it is committed,
+and is taken back if the entry is dropped. Majorities of two configurations that
+differ by one voter always share a replica, so the leader changes one voter at a
+time and the next one only after the former change was committed.
+
+A voter is a name together with the id of its data folder. A process that comes
+back with another folder answers under another id: its votes and confirmations
+count for nothing until it was admitted anew as a learner and promoted.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import Final
+
+from lentilfork.schema import agreement_pb2
+from lentilfork.schema import state_pb2
+from lentilfork.state.codec import decode_controller
+from lentilfork.state.model import Controller
+
+__all__ = [
+    "Configuration",
+    "Configurations",
+    "check_transition",
+    "encode_configuration",
+    "find_majority_index",
+    "has_majority",
+    "list_voters",
+]
+
+NO_PROBLEM: Final = ""
+
+# Controllers by name.
+Configuration = dict[str, Controller]
+
+
+def decode_configuration(message: state_pb2.ControllerSet) -> Configuration:
+    """Return the configuration of a message."""
+    return {item.name: decode_controller(item) for item in message.controllers}
+
+
+def encode_configuration(
+    controllers: Iterable[Controller],
+) -> state_pb2.ControllerSet:
+    """Return the message of a configuration, sorted by name."""
+    return state_pb2.ControllerSet(
+        controllers=[
+            state_pb2.Controller(
+                name=item.name,
+                control_address=item.control_address,
+                voter=item.voter,
+                disk_id=item.disk_id,
+            )
+            for item in sorted(controllers, key=lambda item: item.name)
+        ]
+    )
+
+
+def list_voters(configuration: Configuration) -> list[Controller]:
+    """Return the voters by name."""
+    voters = (item for item in configuration.values() if item.voter)
+    return sorted(voters, key=lambda item: item.name)
+
+
+def has_majority(configuration: Configuration, names: Iterable[str]) -> bool:
+    """Tell whether `names` hold more than half of the voters."""
+    voters = {item.name for item in list_voters(configuration)}
+    return 2 * len(voters & set(names)) > len(voters)
+
+
+def find_majority_index(
+    configuration: Configuration, indexes: Mapping[str, int]
+) -> int:
+    """Return the highest index that more than half of the voters hold."""
+    held = sorted(
+        (indexes.get(item.name, 0) for item in list_voters(configuration)),
+        reverse=True,
+    )
+    return held[len(held) // 2] if held else 0
+
+
+def check_transition(
+    old: Configuration, new: Configuration, leader: str, ready: Iterable[str]
+) -> str:
+    """Return why a configuration may not follow another, or "".
+
+    `ready` names the learners that hold, synced, all that is committed.
+    """
+    old_voters = {(item.name, item.disk_id) for item in list_voters(old)}
+    new_voters = {(item.name, item.disk_id) for item in list_voters(new)}
+    if len(old_voters ^ new_voters) > 1:
+        return "only one voter may be added or removed at a time"
+    if leader not in {name for name, _ in new_voters}:
+        return f"{leader} leads; it has to step down before it stops voting"
+    caught_up = set(ready)
+    for name, disk_id in new_voters - old_voters:
+        known = old.get(name)
+        if known is None or known.disk_id != disk_id:
+            return f"{name} must be a learner before it becomes a voter"
+        if name not in caught_up:
+            return f"{name} has not caught up yet"
+    return NO_PROBLEM
+
+
+class Configurations:
+    """The configurations in a log, by the index of their entry."""
+
+    # Index and configuration, in order; the first is that of the snapshot.
+    found: list[tuple[int, Configuration]]
+
+    def __init__(self, index: int, configuration: Configuration) -> None:
+        self.found = [(index, configuration)]
+
+    @property
+    def current(self) -> Configuration:
+        """The configuration in effect."""
+        return self.found[-1][1]
+
+    @property
+    def current_index(self) -> int:
+        """Index of the entry that put it in effect."""
+        return self.found[-1][0]
+
+    def add_entries(self, entries: Iterable[agreement_pb2.LogEntry]) -> None:
+        """Take note of entries appended to the log after a possible cut."""
+        for entry in entries:
+            while len(self.found) > 1 and self.found[-1][0] >= entry.index:
+                self.found.pop()
+            if entry.change.WhichOneof("kind") != "put_controllers":
+                continue
+            if entry.index > self.found[-1][0]:
+                configuration = decode_configuration(entry.change.put_controllers)
+                self.found.append((entry.index, configuration))
+
+    def forget_before(self, index: int) -> None:
+        """Drop what was superseded at or before a committed index."""
+        while len(self.found) > 1 and self.found[1][0] <= index:
+            del self.found[0]
