--- /dev/null
+++ b/src/lentilfork/bench/callers.py
@@ -0,0 +1,159 @@
+"""Callers as they are in the field: aiocoap clients, unmodified.
+
+Each caller has a socket of its own and one request at a time. A caller that is
+told "not run" comes again with the same request, as a sign would; one that is told
+to fetch a long answer anew does so. Everything else ends the request.
+"""
+
+import asyncio
+import random
+import time
+from collections.abc import Mapping
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+from typing import Final
+
+import aiocoap
+from aiocoap import error
+from aiocoap.numbers import codes
+
+from lentilfork.bench.content import LONG_CONTENT_BYTES
+from lentilfork.bench.outcomes import Outcome
+from lentilfork.bench.outcomes import Record
+from lentilfork.bench.outcomes import Reply
+from lentilfork.bench.outcomes import judge_reply
+from lentilfork.bench.workload import Kind
+from lentilfork.bench.workload import Request
+from lentilfork.bench.workload import Template
+from lentilfork.bench.workload import make_request
+
+__all__ = ["Caller", "Target", "run_caller"]
+
+DEFAULT_REPEATS: Final = 5
+REPEATED_OUTCOMES: Final = frozenset({Outcome.NOT_RUN, Outcome.RESTART})
+# A caller waits this long beyond the service's deadline, for the way back.
+DEADLINE_SLACK_S: Final = 1.0
+# A long flow has this many deadlines for all its blocks.
+DOWNLOAD_DEADLINES: Final = 4
+LONGEST_PAUSE_S: Final = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """A service as its callers know it."""
+
+    # "ip:port".
+    address: str
+    deadline_s: float
+    # Size of its long answers.
+    long_bytes: int = LONG_CONTENT_BYTES
+
+
+class Caller:
+    """One caller with a socket of its own."""
+
+    name: str
+    context: aiocoap.Context
+    targets: Mapping[str, Target]
+    # How often a request is sent anew before its outcome stands.
+    repeats: int
+
+    def __init__(
+        self,
+        name: str,
+        context: aiocoap.Context,
+        targets: Mapping[str, Target],
+        repeats: int = DEFAULT_REPEATS,
+    ) -> None:
+        self.name = name
+        self.context = context
+        self.targets = targets
+        self.repeats = repeats
+
+    @classmethod
+    async def open(
+        cls, name: str, targets: Mapping[str, Target], repeats: int = DEFAULT_REPEATS
+    ) -> "Caller":
+        """Return a caller with an open socket."""
+        context = await aiocoap.Context.create_client_context(transports=["udp6"])
+        return cls(name, context, targets, repeats)
+
+    async def close(self) -> None:
+        """Close the socket."""
+        await self.context.shutdown()
+
+    async def ask(self, request: Request) -> Record:
+        """Send a request until its outcome stands."""
+        record = Record(request, time.time(), 0.0, Outcome.BROKEN)
+        begun = time.monotonic()
+        for record.repeats in range(self.repeats + 1):
+            record.outcome, record.detail, pause_s = await self.send(request)
+            if record.outcome not in REPEATED_OUTCOMES:
+                break
+            record.restarts += record.outcome is Outcome.RESTART
+            await asyncio.sleep(min(pause_s, LONGEST_PAUSE_S))
+        record.latency_s = time.monotonic() - begun
+        return record
+
+    async def send(self, request: Request) -> tuple[Outcome, str, float]:
+        """Send a request once; returns outcome, what was told, and a pause."""
+        target = self.targets[request.service]
+        try:
+            async with asyncio.timeout(get_patience(request, target)):
+                reply = await self.exchange(request, target)
+        except TimeoutError:
+            return Outcome.BROKEN, "no answer in time", 0.0
+        except error.ResourceChanged:
+            return Outcome.RESTART, "content changed", 0.0
+        except error.Error as problem:
+            return Outcome.BROKEN, repr(problem), 0.0
+        outcome = judge_reply(request, reply, target.long_bytes)
+        told = f"{codes.Code(reply.code)} block {reply.block}: {reply.payload[:200]!r}"
+        return outcome, told, float(reply.max_age_s)
+
+    async def exchange(self, request: Request, target: Target) -> Reply:
+        """Return the answer to one sending; raises aiocoap's errors."""
+        query = "&".join(request.query)
+        uri = f"coap://{target.address}{request.path}" + (f"?{query}" if query else "")
+        message = aiocoap.Message(
+            code=codes.Code[request.method], uri=uri, payload=request.payload
+        )
+        response: Any = await self.context.request(message).response
+        block = response.request.opt.block2
+        return Reply(
+            code=int(response.code),
+            payload=response.payload,
+            block=block.block_number if block else 0,
+            max_age_s=response.opt.max_age or 0,
+        )
+
+
+def get_patience(request: Request, target: Target) -> float:
+    """Return how long a caller waits for the whole answer, in seconds."""
+    times = DOWNLOAD_DEADLINES if request.kind is Kind.DOWNLOAD else 1
+    return times * target.deadline_s + DEADLINE_SLACK_S
+
+
+async def run_caller(
+    caller: Caller,
+    templates: Sequence[Template],
+    records: list[Record],
+    stopped: asyncio.Event,
+    mean_pause_s: float,
+    seed: int,
+) -> None:
+    """Ask for one thing after the other until `stopped`; the last one ends whole."""
+    choice = random.Random(f"{seed}/{caller.name}")
+    serial = 0
+    while not stopped.is_set():
+        serial += 1
+        template = choice.choice(templates)
+        request = make_request(template, choice, f"{caller.name}-{serial}")
+        records.append(await caller.ask(request))
+        pause_s = choice.expovariate(1 / mean_pause_s)
+        try:
+            async with asyncio.timeout(pause_s):
+                await stopped.wait()
+        except TimeoutError:
+            continue
--- /dev/null
+++ b/src/lentilfork/bench/tcp_proxy.py
@@ -0,0 +1,149 @@
+"""Proxy for connections: delays, breaks, cuts one way or holds them."""
+
+import asyncio
+import socket
+import time
+from typing import Final
+
+from lentilfork.bench.faults import Direction
+from lentilfork.bench.faults import PathConfig
+from lentilfork.bench.faults import Proxy
+from lentilfork.settings import split_address
+
+__all__ = ["TcpProxy"]
+
+CHUNK_BYTES: Final = 65_536
+# Chunks of a connection under way in each direction.
+CHUNKS_UNDER_WAY: Final = 64
+BACKLOG: Final = 128
+CONNECT_TIMEOUT_S: Final = 5.0
+
+
+class TcpProxy(Proxy):
+    """Passes connections, each in two tasks, one for each direction."""
+
+    listener: socket.socket | None
+    serving: asyncio.Task[None] | None
+    # Tasks of open connections.
+    connections: set[asyncio.Task[None]]
+    # Set and replaced at each change of the faults.
+    changed: asyncio.Event
+
+    def __init__(self, config: PathConfig, seed: int) -> None:
+        self.changed = asyncio.Event()
+        super().__init__(config, seed)
+        self.listener = None
+        self.serving = None
+        self.connections = set()
+
+    def open(self) -> None:
+        """Bind and pass from now on, in the running loop; raises OSError."""
+        self.listener = socket.create_server(
+            split_address(self.config.listen), backlog=BACKLOG
+        )
+        self.listener.setblocking(False)
+        self.serving = asyncio.create_task(self.accept_connections(self.listener))
+
+    def close(self) -> None:
+        """Close all sockets; open connections break."""
+        for task in [*self.connections, *([self.serving] if self.serving else [])]:
+            task.cancel()
+        if self.listener is not None:
+            self.listener.close()
+        self.listener = None
+
+    def enforce(self) -> None:
+        """Wake the directions that wait."""
+        super().enforce()
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def break_connections(self) -> None:
+        """Break every open connection; new ones are taken as before."""
+        for task in self.connections:
+            task.cancel()
+
+    async def accept_connections(self, listener: socket.socket) -> None:
+        """Start a task for each connection, for ever."""
+        loop = asyncio.get_running_loop()
+        while True:
+            accepted, _ = await loop.sock_accept(listener)
+            self.counters.add("connections")
+            task = asyncio.create_task(self.serve_connection(accepted))
+            self.connections.add(task)
+            task.add_done_callback(self.connections.discard)
+
+    async def serve_connection(self, accepted: socket.socket) -> None:
+        """Pass one connection until an end closes it or a fault breaks it."""
+        host, port = split_address(self.config.target)
+        near_reader, near_writer = await asyncio.open_connection(sock=accepted)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                far_reader, far_writer = await asyncio.open_connection(host, port)
+        except OSError:
+            near_writer.transport.abort()
+            return
+        broken = True
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self.pump("forward", near_reader, far_writer))
+                group.create_task(self.pump("backward", far_reader, near_writer))
+            broken = False
+        except* OSError:
+            self.counters.add("connections_ended", "broken")
+        finally:
+            for writer in (near_writer, far_writer):
+                if broken:
+                    writer.transport.abort()
+                else:
+                    writer.close()
+
+    async def pump(
+        self,
+        direction: Direction,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Pass the data of one direction in order until it ends; raises OSError."""
+        chunks: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(CHUNKS_UNDER_WAY)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.read_chunks(direction, reader, chunks))
+            group.create_task(self.write_chunks(direction, chunks, writer))
+
+    async def read_chunks(
+        self,
+        direction: Direction,
+        reader: asyncio.StreamReader,
+        chunks: asyncio.Queue[tuple[float, bytes]],
+    ) -> None:
+        """Queue what is read with the time it is due; an empty chunk is the end."""
+        chunk = b"-"
+        while chunk:
+            chunk = await reader.read(CHUNK_BYTES)
+            if chunk and self.happens(self.faults.drop):
+                self.counters.add("connections_broken", direction)
+                raise ConnectionResetError("broken by a fault")
+            due = time.monotonic() + self.faults.delay_ms / 1000
+            await chunks.put((due, chunk))
+
+    async def write_chunks(
+        self,
+        direction: Direction,
+        chunks: asyncio.Queue[tuple[float, bytes]],
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Write each chunk when it is due and the direction is open."""
+        while True:
+            due, chunk = await chunks.get()
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+            await self.wait_open(direction)
+            if not chunk:
+                writer.write_eof()
+                return
+            writer.write(chunk)
+            await writer.drain()
+
+    async def wait_open(self, direction: Direction) -> None:
+        """Wait while the direction is cut or everything is frozen."""
+        while self.faults.frozen or self.faults.is_cut(direction):
+            await self.changed.wait()
--- /dev/null
+++ b/src/lentilfork/bench/udp_proxy.py
@@ -0,0 +1,164 @@
+"""Proxy for datagrams: loses, delays, repeats, reorders, cuts or holds them."""
+
+import asyncio
+import contextlib
+import socket
+from collections import OrderedDict
+from collections import deque
+from functools import partial
+from typing import Final
+
+from lentilfork.bench.faults import Direction
+from lentilfork.bench.faults import PathConfig
+from lentilfork.bench.faults import Proxy
+from lentilfork.settings import split_address
+
+__all__ = ["UdpProxy"]
+
+LARGEST_DATAGRAM_BYTES: Final = 65_535
+RECEIVE_BUFFER_BYTES: Final = 4 * 1024 * 1024
+DATAGRAMS_PER_TURN: Final = 64
+# Senders told apart; the one silent longest is forgotten.
+CLIENTS_KEPT: Final = 4_096
+# Datagrams held while frozen.
+DATAGRAMS_HELD: Final = 10_000
+
+Address = tuple[str, int]
+
+
+def open_datagram_socket(address: Address) -> socket.socket:
+    """Return a non-blocking UDP socket bound to `address`."""
+    opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    opened.setblocking(False)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    opened.bind(address)
+    return opened
+
+
+class UdpProxy(Proxy):
+    """Passes datagrams; answers go back to the sender they belong to."""
+
+    target: Address
+    listener: socket.socket | None
+    # One socket towards the target for each sender, least recently used first.
+    clients: OrderedDict[Address, socket.socket]
+    # What waits while frozen: socket, data and destination.
+    held: deque[tuple[socket.socket, bytes, Address]]
+
+    def __init__(self, config: PathConfig, seed: int) -> None:
+        self.held = deque(maxlen=DATAGRAMS_HELD)
+        super().__init__(config, seed)
+        self.target = split_address(config.target)
+        self.listener = None
+        self.clients = OrderedDict()
+
+    def open(self) -> None:
+        """Bind and pass from now on, in the running loop; raises OSError."""
+        self.listener = open_datagram_socket(split_address(self.config.listen))
+        asyncio.get_running_loop().add_reader(self.listener, self.take_forward)
+
+    def close(self) -> None:
+        """Close all sockets."""
+        loop = asyncio.get_running_loop()
+        listeners = [self.listener] if self.listener else []
+        for opened in [*self.clients.values(), *listeners]:
+            loop.remove_reader(opened)
+            opened.close()
+        self.clients.clear()
+        self.listener = None
+
+    def enforce(self) -> None:
+        """Send what was held once nothing waits any more."""
+        super().enforce()
+        while self.held and not self.faults.frozen:
+            self.send(*self.held.popleft())
+
+    def take_forward(self) -> None:
+        """Pass what has come for the target."""
+        assert self.listener is not None
+        for _ in range(DATAGRAMS_PER_TURN):
+            try:
+                data, client = self.listener.recvfrom(LARGEST_DATAGRAM_BYTES)
+            except (BlockingIOError, ConnectionError):
+                return
+            self.convey("forward", self.find_client(client), data, self.target)
+
+    def find_client(self, client: Address) -> socket.socket:
+        """Return the socket that stands in for a sender."""
+        found = self.clients.get(client)
+        if found is None:
+            host, _ = split_address(self.config.listen)
+            found = open_datagram_socket((host, 0))
+            self.clients[client] = found
+            take = partial(self.take_backward, found, client)
+            asyncio.get_running_loop().add_reader(found, take)
+            self.forget_clients()
+        self.clients.move_to_end(client)
+        return found
+
+    def forget_clients(self) -> None:
+        """Close the sockets of the senders silent longest, above the bound."""
+        while len(self.clients) > CLIENTS_KEPT:
+            _, oldest = self.clients.popitem(last=False)
+            asyncio.get_running_loop().remove_reader(oldest)
+            oldest.close()
+
+    def take_backward(self, source: socket.socket, client: Address) -> None:
+        """Pass what the target has sent to one sender."""
+        for _ in range(DATAGRAMS_PER_TURN):
+            try:
+                data = source.recv(LARGEST_DATAGRAM_BYTES)
+            except (BlockingIOError, ConnectionError):
+                return
+            if self.listener is not None:
+                self.convey("backward", self.listener, data, client)
+
+    def convey(
+        self,
+        direction: Direction,
+        source: socket.socket,
+        data: bytes,
+        destination: Address,
+    ) -> None:
+        """Send one datagram with the faults it meets."""
+        if self.faults.is_cut(direction):
+            self.counters.add("datagrams_cut", direction)
+            return
+        if self.happens(self.faults.drop):
+            self.counters.add("datagrams_dropped", direction)
+            return
+        copies = 1
+        if self.happens(self.faults.duplicate):
+            self.counters.add("datagrams_duplicated", direction)
+            copies = 2
+        for _ in range(copies):
+            self.send_later(source, data, destination, self.draw_delay())
+        self.counters.add("datagrams", direction)
+
+    def draw_delay(self) -> float:
+        """Return the one-way time of one datagram in milliseconds."""
+        late_ms = 0.0
+        if self.happens(self.faults.reorder):
+            self.counters.add("datagrams_held_back")
+            late_ms = self.random.uniform(0, self.faults.reorder_ms)
+        return self.faults.delay_ms + late_ms
+
+    def send_later(
+        self, source: socket.socket, data: bytes, destination: Address, delay_ms: float
+    ) -> None:
+        """Send one datagram after a delay."""
+        if delay_ms <= 0:
+            self.send(source, data, destination)
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_ms / 1000, self.send, source, data, destination)
+
+    def send(self, source: socket.socket, data: bytes, destination: Address) -> None:
+        """Send one datagram now, or hold it while frozen."""
+        if self.faults.frozen:
+            self.held.append((source, data, destination))
+            return
+        if source.fileno() < 0:
+            return
+        with contextlib.suppress(OSError):
+            source.sendto(data, destination)
--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the stand-ins that other tests rely on."""
--- /dev/null
+++ b/tests/bench/test_proxy.py
@@ -0,0 +1,165 @@
+"""Faults of the proxies: each one strikes, and only where it is asked for."""
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator
+
+import pytest
+
+from lentilfork.bench.addresses import AddressBlock
+from lentilfork.bench.faults import Faults
+from lentilfork.bench.proxy import PathConfig
+from lentilfork.bench.proxy import Proxy
+from lentilfork.bench.proxy import open_proxy
+from lentilfork.settings import split_address
+
+SEED = 4
+SENT = 400
+WAIT_S = 5.0
+# Above the longest delay of any fault here.
+SETTLE_S = 0.3
+
+
+@pytest.fixture
+def addresses() -> AddressBlock:
+    return AddressBlock()
+
+
+def open_socket(address: str) -> socket.socket:
+    opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    opened.setblocking(False)
+    opened.bind(split_address(address))
+    return opened
+
+
+async def pass_datagrams(addresses: AddressBlock, faults: Faults) -> list[int]:
+    """Send numbered datagrams through a proxy; returns the numbers that arrive."""
+    listen, target = addresses.take_address(6000), addresses.take_address(6000)
+    path = PathConfig(
+        name="path", kind="udp", listen=listen, target=target, faults=faults
+    )
+    proxy = open_proxy(path, SEED)
+    loop = asyncio.get_running_loop()
+    arrived: list[int] = []
+    with open_socket(target) as far, open_socket(addresses.take_address(6000)) as near:
+        loop.add_reader(far, lambda: arrived.append(int(far.recv(100))))
+        for number in range(SENT):
+            near.sendto(str(number).encode(), split_address(listen))
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(SETTLE_S)
+        loop.remove_reader(far)
+    proxy.close()
+    return arrived
+
+
+async def test_without_faults_all_arrive_in_order(addresses: AddressBlock) -> None:
+    assert await pass_datagrams(addresses, Faults()) == list(range(SENT))
+
+
+async def test_dropped_share_is_lost(addresses: AddressBlock) -> None:
+    arrived = await pass_datagrams(addresses, Faults(drop=0.2))
+    assert len(arrived) == len(set(arrived))
+    assert 0.7 * SENT < len(arrived) < 0.9 * SENT
+
+
+async def test_duplicated_share_arrives_twice(addresses: AddressBlock) -> None:
+    arrived = await pass_datagrams(addresses, Faults(duplicate=0.2))
+    assert set(arrived) == set(range(SENT))
+    assert 1.1 * SENT < len(arrived) < 1.3 * SENT
+
+
+async def test_reordered_share_comes_late(addresses: AddressBlock) -> None:
+    arrived = await pass_datagrams(addresses, Faults(reorder=0.2, reorder_ms=30))
+    assert sorted(arrived) == list(range(SENT))
+    assert arrived != sorted(arrived)
+
+
+async def test_same_seed_strikes_the_same_datagrams(addresses: AddressBlock) -> None:
+    first = await pass_datagrams(addresses, Faults(drop=0.3))
+    second = await pass_datagrams(addresses, Faults(drop=0.3))
+    assert first == second
+
+
+@pytest.fixture
+async def tcp(addresses: AddressBlock) -> AsyncIterator["TcpPath"]:
+    path = TcpPath(addresses)
+    await path.open()
+    yield path
+    await path.close()
+
+
+class TcpPath:
+    """A client and an echoing server with a proxy between them."""
+
+    proxy: Proxy
+
+    def __init__(self, addresses: AddressBlock) -> None:
+        self.listen = addresses.take_address(7000)
+        self.target = addresses.take_address(7000)
+        # What the server has received.
+        self.received = bytearray()
+
+    async def open(self) -> None:
+        """Start server, proxy and client."""
+        self.server = await asyncio.start_server(self.echo, *split_address(self.target))
+        path = PathConfig(
+            name="path", kind="tcp", listen=self.listen, target=self.target
+        )
+        self.proxy = open_proxy(path, SEED)
+        self.reader, self.writer = await asyncio.open_connection(
+            *split_address(self.listen)
+        )
+
+    async def close(self) -> None:
+        """Close them all."""
+        self.writer.transport.abort()
+        self.proxy.close()
+        self.server.close()
+        await asyncio.sleep(0)
+
+    async def echo(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one connection of the server."""
+        while data := await reader.read(100):
+            self.received += data
+            writer.write(data)
+        writer.close()
+
+    async def read(self, count: int) -> bytes:
+        """Return what the server echoed."""
+        return await asyncio.wait_for(self.reader.readexactly(count), WAIT_S)
+
+    async def hears_nothing(self) -> bool:
+        """Tell whether no echo comes for a while."""
+        try:
+            await asyncio.wait_for(self.reader.readexactly(1), timeout=0.3)
+        except TimeoutError:
+            return True
+        return False
+
+
+async def test_cut_backward_lets_requests_through_and_no_answers(tcp: TcpPath) -> None:
+    tcp.proxy.apply({"cut": "backward"})
+    tcp.writer.write(b"one")
+    assert await tcp.hears_nothing()
+    assert tcp.received == b"one"
+    tcp.proxy.apply({"cut": "none"})
+    assert await tcp.read(3) == b"one"
+
+
+async def test_frozen_connection_goes_on_whole_afterwards(tcp: TcpPath) -> None:
+    tcp.proxy.apply({"frozen": True})
+    tcp.writer.write(b"two")
+    assert await tcp.hears_nothing()
+    assert not tcp.received
+    tcp.proxy.apply({"frozen": False})
+    assert await tcp.read(3) == b"two"
+
+
+async def test_dropped_chunk_breaks_the_connection(tcp: TcpPath) -> None:
+    tcp.proxy.apply({"drop": 1.0})
+    tcp.writer.write(b"three")
+    with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+        await tcp.read(1)
+    assert not tcp.received
