Test the operator command against stand-in controllers

Each test runs the command as a process and induces one failure: a lost answer, an outcome that stays unknown, a conflict, a member that lags, a controller that is gone, an interrupt. An interrupted change now tells the id to resend it with.

--- a/src/lentilfork/cli/application.py
+++ b/src/lentilfork/cli/application.py
@@ -58,6 +58,7 @@
   3 no controller answered; nothing is known to have changed
   4 outcome unknown; resend with the same change id
   5 accepted, but not in force everywhere in the time given
+  130 interrupted while nothing was being changed
 """
 
 
--- a/src/lentilfork/cli/changes.py
+++ b/src/lentilfork/cli/changes.py
@@ -13,12 +13,14 @@
 from result import Result
 
 from lentilfork.cli.client import ControllerClient
+from lentilfork.cli.client import describe_unknown
 from lentilfork.cli.command import JSON_OPTION
 from lentilfork.cli.command import ClientCommand
 from lentilfork.cli.command import parse_number
 from lentilfork.cli.output import format_json
 from lentilfork.cli.output import to_values
 from lentilfork.cli.progress import wait_until_in_force
+from lentilfork.errors import ExitCode
 from lentilfork.errors import Failure
 from lentilfork.schema import state_pb2
 
@@ -49,6 +51,9 @@
 class ChangeCommand(ClientCommand, ABC):
     """A command that submits one change."""
 
+    # Id of the change that is being submitted and has no known outcome yet.
+    pending: str | None = None
+
     def make_change(self, **kind: Any) -> Result[state_pb2.Change, Failure]:
         """Return a change of this kind with the ids the options ask for."""
         change = state_pb2.Change(
@@ -71,7 +76,9 @@
         wait = parse_number("wait", self.option("wait") or "0")
         if isinstance(wait, Err):
             return wait
+        self.pending = change.change_id
         submitted = await client.submit(change)
+        self.pending = None
         if isinstance(submitted, Err):
             return submitted
         result = submitted.ok_value
@@ -85,3 +92,11 @@
         return await wait_until_in_force(
             client, result.generation, wait.ok_value, self.note
         )
+
+    def handle_interrupt(self) -> int:
+        """Tell how to find out what became of a change under way."""
+        if self.pending is None:
+            return ExitCode.INTERRUPTED
+        message = describe_unknown(self.pending)
+        failure = Failure("submit change", "-", message, ExitCode.UNKNOWN)
+        return self.report(failure)
--- a/src/lentilfork/cli/client.py
+++ b/src/lentilfork/cli/client.py
@@ -32,7 +32,7 @@
     from lentilfork.schema.admin_pb2_grpc import AdministrationAsyncStub
     from lentilfork.schema.admin_pb2_grpc import InspectionAsyncStub
 
-__all__ = ["ControllerClient"]
+__all__ = ["ControllerClient", "describe_unknown"]
 
 # Longest wait for one controller before the next one is asked.
 ATTEMPT_TIMEOUT_S: Final = 2.0
@@ -49,6 +49,14 @@
     return f"{error.code().name.lower().replace('_', ' ')}: {error.details() or '-'}"
 
 
+def describe_unknown(change_id: str) -> str:
+    """Return what to do about a change without a known outcome."""
+    return (
+        "outcome unknown: the change may have taken effect or may yet; resend it "
+        f"with --change-id {change_id}"
+    )
+
+
 class ControllerClient:
     """The administration API as one operator command uses it."""
 
@@ -200,10 +208,7 @@
             uncertain = True
         if not uncertain:
             return Err(self.fail(step, ExitCode.UNREACHABLE, "; nothing was sent"))
-        hint = (
-            "; outcome unknown: the change may have taken effect or may yet; "
-            f"resend it with --change-id {change.change_id}"
-        )
+        hint = f"; {describe_unknown(change.change_id)}"
         return Err(self.fail(step, ExitCode.UNKNOWN, hint))
 
 
--- a/src/lentilfork/cli/command.py
+++ b/src/lentilfork/cli/command.py
@@ -63,7 +63,10 @@
         if isinstance(timeout, Err):
             return self.report(timeout.err_value)
         client = ControllerClient(connection.ok_value, timeout.ok_value)
-        return asyncio.run(self.run_and_close(client))
+        try:
+            return asyncio.run(self.run_and_close(client))
+        except KeyboardInterrupt:
+            return self.handle_interrupt()
 
     async def run_and_close(self, client: ControllerClient) -> int:
         """Run the command and close the client in any case."""
@@ -73,6 +76,10 @@
             await client.close()
         return self.report(outcome.err_value) if isinstance(outcome, Err) else 0
 
+    def handle_interrupt(self) -> int:
+        """Return the exit code of a command the user has interrupted."""
+        return ExitCode.INTERRUPTED
+
     def print(self, text: str) -> None:
         """Write a line to standard output as it is."""
         self.io.write_line(text, type=Type.RAW)
--- a/src/lentilfork/cli/views.py
+++ b/src/lentilfork/cli/views.py
@@ -205,6 +205,10 @@
                 self.print(f"{describe_status(status.ok_value)}\n")
         return Ok(None)
 
+    def handle_interrupt(self) -> int:
+        """End well: this is how the command is meant to be ended."""
+        return ExitCode.OK
+
 
 class DumpView(ClientCommand):
     """Show the whole state of one process."""
--- /dev/null
+++ b/tests/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operator command against stand-in controllers."""
--- /dev/null
+++ b/tests/cli/test_commands.py
@@ -0,0 +1,341 @@
+"""Commands as processes: what they send, print and end with."""
+
+import asyncio
+import json
+import signal
+from collections.abc import AsyncIterator
+from collections.abc import Iterator
+from pathlib import Path
+
+import grpc
+import pytest
+
+from lentilfork.bench.addresses import AddressBlock
+from lentilfork.errors import ExitCode
+from lentilfork.schema import admin_pb2
+from lentilfork.schema import state_pb2
+from tests.cli.standin import StandInController
+from tests.cli.standin import finish_command
+from tests.cli.standin import read_lines
+from tests.cli.standin import run_command
+from tests.cli.standin import start_command
+
+SERVICE = {
+    "name": "warnings",
+    "address": "10.8.0.1",
+    "port": 5683,
+    "deadline_ms": 2000,
+    "long_paths": ["artwork"],
+}
+PRESET = {
+    "name": "peak",
+    "queue_per_slot": 6,
+    "queue_time_ms": 600,
+    "retry_budget_percent": 5,
+    "drain_ms": 60000,
+    "cold_start_ms": 5000,
+}
+UNKNOWN = admin_pb2.SubmitReply(outcome_unknown=True)
+
+
+def make_accepted(generation: int) -> admin_pb2.SubmitReply:
+    """Return the answer to a change that took effect."""
+    result = state_pb2.ChangeResult(
+        change_id="c1", outcome=state_pb2.ACCEPTED, generation=generation
+    )
+    return admin_pb2.SubmitReply(result=result)
+
+
+def make_status(generation: int, **members: tuple[str, int]) -> admin_pb2.Status:
+    """Return a status with agents by name, each with its state and generation."""
+    return admin_pb2.Status(
+        generation=generation,
+        leader="control-1",
+        active_preset="peak",
+        members=[
+            admin_pb2.MemberStatus(
+                name=name, role="agent", state=state, generation=reached, reason="busy"
+            )
+            for name, (state, reached) in members.items()
+        ],
+    )
+
+
+@pytest.fixture
+def block() -> Iterator[AddressBlock]:
+    """Loopback addresses of this test."""
+    addresses = AddressBlock()
+    yield addresses
+    addresses.close()
+
+
+@pytest.fixture
+async def controllers(block: AddressBlock) -> AsyncIterator[list[StandInController]]:
+    """Two running stand-in controllers."""
+    started = [StandInController(block.take_address(7000)) for _ in range(2)]
+    for controller in started:
+        await controller.server.start()
+    yield started
+    for controller in started:
+        await controller.server.stop(None)
+
+
+@pytest.fixture
+def service_file(tmp_path: Path) -> str:
+    """Write a correct service definition."""
+    path = tmp_path / "warnings.json"
+    path.write_text(json.dumps(SERVICE), encoding="utf-8")
+    return str(path)
+
+
+def join(controllers: list[StandInController]) -> str:
+    return ",".join(controller.address for controller in controllers)
+
+
+async def test_apply_sends_the_definition_and_prints_the_version(
+    controllers: list[StandInController], service_file: str
+) -> None:
+    controllers[0].answers = [make_accepted(12)]
+    finished = await run_command(
+        *("service", "apply", service_file, "--expect", "0", "--operator", "ama"),
+        *("--controllers", join(controllers)),
+    )
+    assert finished.code == ExitCode.OK, finished.errors
+    assert "service warnings: version 12" in finished.output
+    (change,) = controllers[0].changes
+    assert change.apply_service.long_paths == ["artwork"]
+    assert change.operator == "ama"
+    assert change.HasField("expected_version")
+    assert change.expected_version == 0
+
+
+async def test_wait_shows_who_lags_until_the_version_is_in_force(
+    controllers: list[StandInController], service_file: str
+) -> None:
+    controllers[0].answers = [make_accepted(12)]
+    controllers[0].statuses = [
+        make_status(11, one=("live", 11)),
+        make_status(12, one=("live", 12), two=("draining", 11), three=("silent", 3)),
+        make_status(12, one=("live", 12), two=("draining", 12), three=("silent", 3)),
+    ]
+    finished = await run_command(
+        *("service", "apply", service_file, "--wait", "20"),
+        *("--controllers", controllers[0].address),
+    )
+    assert finished.code == ExitCode.OK, finished.errors
+    shown = finished.errors.splitlines()
+    assert "0 of 1 live members" in shown[0]
+    assert "waiting for two (at 11, busy); silent: three" in shown[1]
+    assert "2 of 2 live members" in shown[2]
+
+
+async def test_wait_that_is_not_met_ends_with_its_own_code(
+    controllers: list[StandInController],
+) -> None:
+    controllers[0].answers = [make_accepted(12)]
+    controllers[0].statuses = [make_status(12, one=("live", 11))]
+    finished = await run_command(
+        *("preset", "use", "peak", "--wait", "1"),
+        *("--controllers", controllers[0].address),
+    )
+    assert finished.code == ExitCode.LAGGING
+    assert "one (at 11, busy)" in finished.errors
+    assert controllers[0].changes[0].use_preset == "peak"
+
+
+async def test_conflict_names_the_change_that_came_first(
+    controllers: list[StandInController], service_file: str
+) -> None:
+    winner = state_pb2.HistoryEntry(
+        generation=9, change_id="c9", operator="nimal", summary="service warnings"
+    )
+    result = state_pb2.ChangeResult(
+        outcome=state_pb2.VERSION_CONFLICT, message="at version 9", conflict=winner
+    )
+    controllers[0].answers = [admin_pb2.SubmitReply(result=result)]
+    finished = await run_command(
+        *("service", "apply", service_file, "--expect", "8"),
+        *("--controllers", join(controllers)),
+    )
+    assert finished.code == ExitCode.REFUSED
+    assert controllers[0].address in finished.errors
+    assert "generation 9 by nimal came first" in finished.errors
+    assert not controllers[1].changes
+
+
+@pytest.mark.parametrize("lost", [UNKNOWN, grpc.StatusCode.UNAVAILABLE])
+async def test_lost_answer_is_asked_for_again_with_the_same_change_id(
+    controllers: list[StandInController],
+    lost: admin_pb2.SubmitReply | grpc.StatusCode,
+) -> None:
+    controllers[0].answers = [lost]
+    controllers[1].answers = [make_accepted(12)]
+    finished = await run_command(
+        *("service", "remove", "warnings", "--controllers", join(controllers))
+    )
+    assert finished.code == ExitCode.OK, finished.errors
+    first, second = controllers[0].changes[0], controllers[1].changes[0]
+    assert first.remove_service == "warnings"
+    assert first.change_id == second.change_id
+
+
+@pytest.mark.parametrize(
+    "later", [UNKNOWN, admin_pb2.SubmitReply(refused="disk is full")]
+)
+async def test_unknown_outcome_prints_the_id_to_resend_with(
+    controllers: list[StandInController], later: admin_pb2.SubmitReply
+) -> None:
+    controllers[0].answers = [UNKNOWN, later]
+    finished = await run_command(
+        *("preset", "use", "peak", "--timeout", "1"),
+        *("--controllers", controllers[0].address, "--change-id", "mine-1"),
+    )
+    assert finished.code == ExitCode.UNKNOWN
+    assert "resend it with --change-id mine-1" in finished.errors
+    assert {change.change_id for change in controllers[0].changes} == {"mine-1"}
+
+
+async def test_refusal_is_told_with_the_peer(
+    controllers: list[StandInController],
+) -> None:
+    controllers[0].answers = [admin_pb2.SubmitReply(refused="disk is full")]
+    finished = await run_command(
+        "preset", "use", "peak", "--controllers", join(controllers)
+    )
+    assert finished.code == ExitCode.REFUSED
+    expected = f"submit change ({controllers[0].address}): disk is full"
+    assert expected in finished.errors
+
+
+async def test_change_is_known_not_to_be_sent_when_nobody_listens(
+    block: AddressBlock,
+) -> None:
+    address = block.take_address(7000)
+    finished = await run_command(
+        "preset", "use", "peak", "--timeout", "1", "--controllers", address
+    )
+    assert finished.code == ExitCode.UNREACHABLE
+    assert f"({address})" in finished.errors
+    assert "nothing was sent" in finished.errors
+
+
+WRONG_FILES: dict[str, tuple[object, str]] = {
+    "unknown key": ({**SERVICE, "speed": 1}, "key speed: unknown"),
+    "wrong type": ({**SERVICE, "port": "5683"}, "key port: Input should be"),
+    "no address": ({**SERVICE, "address": "here"}, "key address: expected an IPv4"),
+    "missing key": ({"name": "warnings"}, "key address: missing"),
+    "slash in path": ({**SERVICE, "long_paths": ["a/b"]}, "key long_paths.0:"),
+    "not an object": ([], "key -: Input should be an object"),
+}
+
+
+@pytest.mark.parametrize("case", WRONG_FILES)
+async def test_wrong_file_is_refused_before_anything_is_sent(
+    controllers: list[StandInController], tmp_path: Path, case: str
+) -> None:
+    document, expected = WRONG_FILES[case]
+    path = tmp_path / "wrong.json"
+    path.write_text(json.dumps(document), encoding="utf-8")
+    finished = await run_command(
+        "service", "apply", str(path), "--controllers", join(controllers)
+    )
+    assert finished.code == ExitCode.USAGE
+    assert f"({path}): {expected}" in finished.errors
+    assert not controllers[0].changes
+
+
+WRONG_ARGUMENTS = {
+    "unknown command": ["cook"],
+    "missing argument": ["service", "apply"],
+    "unknown option": ["status", "--loud"],
+    "no controllers": ["status", "--controllers", ""],
+    "no address": ["status", "--controllers", "somewhere"],
+    "no number": ["status", "--controllers", "127.0.0.1:1", "--timeout", "soon"],
+}
+
+
+@pytest.mark.parametrize("case", WRONG_ARGUMENTS)
+async def test_wrong_arguments_end_with_one_line(case: str) -> None:
+    finished = await run_command(*WRONG_ARGUMENTS[case], LENTILFORK_CONTROLLERS="")
+    assert finished.code == ExitCode.USAGE
+    assert len(finished.errors.splitlines()) == 1
+    assert finished.errors.startswith("lentilfork: ")
+
+
+READS: dict[str, tuple[list[str], list[tuple[str, object]]]] = {
+    "services": (["service", "list"], [("name", "warnings"), ("version", 2**60)]),
+    "service": (["service", "show", "warnings"], [("id", 3), ("port", 5683)]),
+    "presets": (["preset", "list"], [("name", "peak"), ("active", True)]),
+    "members": (["members"], [("name", "one"), ("generation", 2**60)]),
+    "status": (["status"], [("generation", 2**60), ("active_preset", "peak")]),
+    "history": (["history", "--after", "1"], [("generation", 2), ("operator", "b")]),
+    "dump by name": (["dump", "one"], [("name", "standin")]),
+}
+
+
+@pytest.mark.parametrize("case", READS)
+async def test_reads_print_json_with_numbers_as_numbers(
+    controllers: list[StandInController], case: str
+) -> None:
+    arguments, expected = READS[case]
+    service = state_pb2.Service(id=3, name="warnings", port=5683, version=2**60)
+    entries = [
+        state_pb2.HistoryEntry(generation=1, operator="a"),
+        state_pb2.HistoryEntry(generation=2, operator="b"),
+    ]
+    status = make_status(2**60, one=("live", 2**60))
+    status.members[0].control_address = controllers[1].address
+    controllers[0].statuses = [status]
+    controllers[0].history = admin_pb2.History(entries=entries)
+    controllers[0].state = state_pb2.Snapshot(
+        services=[service],
+        presets=[state_pb2.Preset(name="peak")],
+        active_preset="peak",
+    )
+    finished = await run_command(
+        *arguments, "--json", LENTILFORK_CONTROLLERS=join(controllers)
+    )
+    assert finished.code == ExitCode.OK, finished.errors
+    document = json.loads(finished.output)
+    shown = document[0] if isinstance(document, list) else document
+    assert expected == [(key, shown[key]) for key, _ in expected]
+    plain = await run_command(*arguments, LENTILFORK_CONTROLLERS=join(controllers))
+    assert plain.code == ExitCode.OK, plain.errors
+    assert str(expected[0][1]) in plain.output
+
+
+async def test_unknown_names_are_refused_and_known_ones_listed(
+    controllers: list[StandInController],
+) -> None:
+    controllers[0].statuses = [make_status(4, one=("live", 4), two=("live", 4))]
+    options = ("--controllers", join(controllers))
+    dump = await run_command("dump", "three", *options)
+    assert (dump.code, "one, two" in dump.errors) == (ExitCode.REFUSED, True)
+    show = await run_command("service", "show", "nothing", *options)
+    assert (show.code, "(nothing)" in show.errors) == (ExitCode.REFUSED, True)
+
+
+async def test_watch_goes_on_at_the_next_controller(
+    controllers: list[StandInController], block: AddressBlock, tmp_path: Path
+) -> None:
+    controllers[1].statuses = [make_status(4), make_status(5)]
+    addresses = [block.take_address(7000), controllers[1].address]
+    path = tmp_path / "client.json"
+    path.write_text(json.dumps({"controllers": addresses}), encoding="utf-8")
+    await controllers[0].server.stop(None)
+    lines = await read_lines(2, "watch", "--json", "--settings", str(path))
+    assert [json.loads(line)["generation"] for line in lines] == [4, 5]
+
+
+async def test_interrupted_change_tells_the_id_to_resend_with(
+    controllers: list[StandInController],
+) -> None:
+    controllers[0].answers = [UNKNOWN]
+    options = ("--controllers", controllers[0].address, "--change-id", "mine-2")
+    running = await start_command("preset", "use", "peak", *options)
+    while not controllers[0].changes:
+        await asyncio.sleep(0.01)
+    running.send_signal(signal.SIGINT)
+    finished = await finish_command(running)
+    assert finished.code == ExitCode.UNKNOWN
+    assert "resend it with --change-id mine-2" in finished.errors
