Run controllers with membership and the administration API

Operators and members had nothing to talk to. The controller role starts the agreement, keeps leases while it leads, spreads each generation to the members joined to it and answers operators. The leader's own changes are never passed on to another leader, since they rest on what this one has heard.

--- /dev/null
+++ b/src/lentilfork/controller.py
@@ -0,0 +1,184 @@
+"""The controller role: agreement, membership and the administration API together.
+
+Starting opens the data folder first, since a damaged one must be told before
+anything else. Draining hands leadership over and closes members' streams, so that
+they move to other controllers before this process stops.
+"""
+
+import asyncio
+import contextlib
+import random
+import signal
+from collections.abc import Coroutine
+from typing import Any
+from typing import Final
+
+import grpc.aio
+from result import Err
+from result import Ok
+from result import Result
+
+from lentilfork.agreement import Replica
+from lentilfork.borders.operators import OperatorService
+from lentilfork.channels import Channels
+from lentilfork.counters import Counters
+from lentilfork.errors import Failure
+from lentilfork.inspection import InspectionService
+from lentilfork.logs import Logger
+from lentilfork.membership.hub import Hub
+from lentilfork.membership.leadership import Leadership
+from lentilfork.membership.leases import Leases
+from lentilfork.membership.silence import SilenceLimit
+from lentilfork.schema import admin_pb2_grpc
+from lentilfork.schema import agreement_pb2_grpc
+from lentilfork.schema import control_pb2_grpc
+from lentilfork.schema import state_pb2
+from lentilfork.settings import ControllerSettings
+from lentilfork.state.model import ClusterState
+
+__all__ = ["ControllerRole"]
+
+STEP: Final = "start controller"
+# A change of the leader's own that takes longer is planned anew.
+CHANGE_TIMEOUT_S: Final = 2.0
+CLOSE_TIMEOUT_S: Final = 2.0
+POLL_INTERVAL_S: Final = 0.02
+SERVER_GRACE_S: Final = 1.0
+
+log = Logger("controller")
+
+
+class ControllerRole:
+    """One controller process."""
+
+    settings: ControllerSettings
+    counters: Counters
+    channels: Channels
+    replica: Replica
+    hub: Hub
+    operators: OperatorService
+    # None until started.
+    server: grpc.aio.Server | None
+    tasks: list["asyncio.Task[None]"]
+
+    def __init__(self, settings: ControllerSettings) -> None:
+        self.settings = settings
+        self.counters = Counters()
+        self.channels = Channels(settings.tls, self.counters)
+        self.replica = Replica(settings, self.channels, self.counters, random.Random())
+        leadership = Leadership(
+            lambda: self.replica.is_leader,
+            lambda: self.replica.leader_address or "",
+            lambda: self.replica.state.cluster,
+        )
+        self.hub = Hub(
+            settings.name,
+            leadership,
+            self.propose,
+            plan_shards,
+            SilenceLimit(settings.silence_limit_percent),
+            self.channels,
+            self.counters,
+        )
+        self.replica.subscribe(self.hub.take_state)
+        self.operators = OperatorService(
+            settings.name, self.replica, self.hub, self.channels, self.counters
+        )
+        self.server = None
+        self.tasks = []
+
+    async def start(self) -> Result[None, Failure]:
+        """Open the data folder and the server; a failure leaves nothing open."""
+        checked = self.channels.check()
+        if isinstance(checked, Err):
+            return checked
+        opened = await self.replica.start()
+        if isinstance(opened, Err):
+            return opened
+        try:
+            self.server = self.channels.make_server(self.settings.control_address)
+        except RuntimeError as error:
+            await self.stop()
+            return Err(Failure(STEP, self.settings.control_address, str(error)))
+        self.add_services(self.server)
+        await self.server.start()
+        self.run_task(self.hub.run(), "membership")
+        with contextlib.suppress(NotImplementedError, ValueError):
+            loop = asyncio.get_running_loop()
+            loop.add_signal_handler(signal.SIGHUP, self.reload)
+        return Ok(None)
+
+    def add_services(self, server: grpc.aio.Server) -> None:
+        """Register all services of a controller."""
+        inspection = InspectionService(self.dump, self.counters)
+        agreement_pb2_grpc.add_AgreementServicer_to_server(
+            self.replica.servicer, server
+        )
+        control_pb2_grpc.add_ControlServicer_to_server(self.hub.service, server)
+        admin_pb2_grpc.add_AdministrationServicer_to_server(self.operators, server)
+        admin_pb2_grpc.add_InspectionServicer_to_server(inspection, server)
+
+    def run_task(self, work: Coroutine[Any, Any, None], name: str) -> None:
+        """Start a task that runs until the role stops."""
+        task = asyncio.create_task(work, name=name)
+        task.add_done_callback(report_failed_task)
+        self.tasks.append(task)
+
+    def reload(self) -> None:
+        """Read the certificates anew."""
+        reloaded = self.channels.reload()
+        if isinstance(reloaded, Err):
+            log.error("certificates not reloaded", failure=reloaded.err_value)
+
+    async def propose(self, change: state_pb2.Change) -> state_pb2.ChangeResult | None:
+        """Write a change of the leader's own to the log; None without an answer.
+
+        It is never passed on: what a former leader concluded from silence must
+        not reach the next one.
+        """
+        reply = await self.replica.submit(change, CHANGE_TIMEOUT_S)
+        return reply.result if reply.HasField("result") else None
+
+    async def drain(self) -> None:
+        """Hand over leadership, answer changes under way, let members move."""
+        await self.operators.drain()
+        await self.replica.step_down()
+        self.hub.sessions.close()
+        deadline_s = asyncio.get_running_loop().time() + CLOSE_TIMEOUT_S
+        while self.hub.sessions.sessions:
+            if asyncio.get_running_loop().time() > deadline_s:
+                break
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    async def stop(self) -> None:
+        """Close everything at once."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.tasks.clear()
+        await self.replica.stop()
+        if self.server is not None:
+            await self.server.stop(SERVER_GRACE_S)
+            self.server = None
+        await self.channels.close()
+
+    def dump(self) -> dict[str, object]:
+        """Return the state of the process as JSON values."""
+        return {
+            "name": self.settings.name,
+            "role": self.settings.role,
+            "data_centre": self.settings.data_centre,
+            "agreement": self.replica.dump(),
+            "membership": self.hub.dump(),
+        }
+
+
+def plan_shards(state: ClusterState, leases: Leases) -> list[state_pb2.ClaimShard]:
+    """Return the claim shards to put."""
+    return []
+
+
+def report_failed_task(task: "asyncio.Task[None]") -> None:
+    """Log the error by which a task ended."""
+    if not task.cancelled() and task.exception() is not None:
+        log.critical("task failed", task=task.get_name(), error=repr(task.exception()))
--- a/src/lentilfork/membership/keeper.py
+++ b/src/lentilfork/membership/keeper.py
@@ -27,11 +27,17 @@
 __all__ = ["Keeper"]
 
 TICK_S: Final = 0.1
+# This process did not run between two ticks further apart.
+STALLED_MS: Final = 500
+# A change that was refused is not proposed again before this time has passed.
+REFUSED_PAUSE_MS: Final = 5_000
 # Changes under way at once; the log syncs those of one moment together.
 MAXIMUM_UNDER_WAY: Final = 128
 
-# Returns True when the change was accepted.
-Propose = Callable[[state_pb2.Change], Coroutine[Any, Any, bool]]
+# Returns the answer to a change, None when there is none: try again.
+Propose = Callable[
+    [state_pb2.Change], Coroutine[Any, Any, state_pb2.ChangeResult | None]
+]
 # Returns the claim shards to put, from the state and the leases.
 PlanShards = Callable[[ClusterState, Leases], list[state_pb2.ClaimShard]]
 
@@ -52,6 +58,9 @@
     numbers: "itertools.count[int]"
     # Changes under way, by what they concern.
     under_way: dict[str, "asyncio.Task[None]"]
+    # When a change of what was refused may be proposed again.
+    refused_ms: dict[str, int]
+    ticked_ms: int
 
     def __init__(
         self,
@@ -70,6 +79,8 @@
         self.leading = False
         self.numbers = itertools.count(1)
         self.under_way = {}
+        self.refused_ms = {}
+        self.ticked_ms = 0
 
     async def run(self, leadership: Leadership) -> None:
         """Tick until cancelled."""
@@ -87,6 +98,15 @@
         if not leads:
             return
         now_ms = read_clock_ms()
+        if now_ms - self.ticked_ms > STALLED_MS:
+            # Silence cannot be told from heartbeats this process did not read.
+            self.leases.extend(now_ms - self.ticked_ms)
+        self.ticked_ms = now_ms
+        self.refused_ms = {
+            subject: until_ms
+            for subject, until_ms in self.refused_ms.items()
+            if until_ms > now_ms
+        }
         shards = self.plan_shards(state, self.leases)
         changes = [
             *self.leases.plan(state, now_ms),
@@ -100,6 +120,8 @@
         if leads and not self.leading:
             self.leases.begin(state, read_clock_ms())
             self.receiver.begin()
+            self.refused_ms.clear()
+            self.ticked_ms = read_clock_ms()
             self.counters.add("leases.begun")
         self.leading = leads
 
@@ -113,7 +135,9 @@
     def begin_change(self, change: state_pb2.Change, state: ClusterState) -> None:
         """Propose a change unless one for the same object is under way."""
         subject = name_subject(change)
-        if subject in self.under_way or len(self.under_way) >= MAXIMUM_UNDER_WAY:
+        if subject in self.refused_ms or subject in self.under_way:
+            return
+        if len(self.under_way) >= MAXIMUM_UNDER_WAY:
             return
         change.change_id = f"{self.origin}/{next(self.numbers)}"
         change.time_ms = time.time_ns() // 1_000_000
@@ -124,8 +148,13 @@
     async def make_change(self, change: state_pb2.Change, state: ClusterState) -> None:
         """Propose a change and count what became of it."""
         kind = change.WhichOneof("kind") or ""
-        if not await self.propose(change):
+        result = await self.propose(change)
+        if result is None:
+            self.counters.add("leases.unanswered", kind)
+            return
+        if result.outcome != state_pb2.ACCEPTED:
             self.counters.add("leases.refused", kind)
+            self.refused_ms[name_subject(change)] = read_clock_ms() + REFUSED_PAUSE_MS
             return
         self.counters.add("leases.changed", kind)
         log.info(kind.replace("_", " "), subject=name_subject(change))
--- a/src/lentilfork/membership/leases.py
+++ b/src/lentilfork/membership/leases.py
@@ -127,6 +127,11 @@
         self.removals.clear()
         self.held_back.clear()
 
+    def extend(self, time_ms: int) -> None:
+        """Extend all leases by the time in which no heartbeats were read."""
+        for lease in self.leases.values():
+            lease.heard_ms += time_ms
+
     def announce(
         self, heartbeat: control_pb2.Heartbeat, now_ms: int
     ) -> tuple[MemberKey, int] | None:
--- a/src/lentilfork/membership/relay.py
+++ b/src/lentilfork/membership/relay.py
@@ -12,6 +12,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import field
 from typing import Final
 
 from lentilfork.counters import Counters
@@ -123,7 +124,10 @@
     """The members that one controller has announced, by their numbers."""
 
     id: int
-    members: dict[int, tuple[MemberKey, int]]
+    members: dict[int, tuple[MemberKey, int]] = field(default_factory=dict)
+    # In force at that controller when its last batch came, and when that was.
+    generation: int = 0
+    heard_ms: int = 0
 
 
 class RelayReceiver:
@@ -152,6 +156,8 @@
             if not announced.issuperset(heard):
                 return control_pb2.RelayReply(unknown_numbering=True)
             numbering = self.add_numbering(batch)
+        numbering.generation = batch.generation
+        numbering.heard_ms = now_ms
         self.take_announcements(batch, numbering, now_ms)
         current = set(unpack_bits(batch.current))
         for number in heard:
@@ -172,7 +178,7 @@
         """Begin a numbering for the sender of a batch."""
         if len(self.numberings) >= MAXIMUM_NUMBERINGS:
             self.numberings.pop(next(iter(self.numberings)))
-        self.numberings[batch.controller] = Numbering(batch.numbering, {})
+        self.numberings[batch.controller] = Numbering(batch.numbering)
         return self.numberings[batch.controller]
 
     def take_announcements(
@@ -192,3 +198,11 @@
         """Tell whether the state holds the member under this number."""
         member = numbering.members.get(number)
         return member is not None and self.leases.is_admitted(state, *member)
+
+    def find_controllers(self) -> dict[MemberKey, str]:
+        """Return the controller each member is joined to, as far as known."""
+        return {
+            key: controller
+            for controller, numbering in self.numberings.items()
+            for key, _ in numbering.members.values()
+        }
--- a/src/lentilfork/settings.py
+++ b/src/lentilfork/settings.py
@@ -159,6 +159,9 @@
     # The voters the state begins with, this process among them. A process that
     # is to join a running system lists the running controllers only.
     controllers: Annotated[tuple[ControllerPeer, ...], Field(min_length=1)]
+    # How many of a service's agents may be taken out at once for silence; the
+    # default is as many as one data centre has. The last ones never are.
+    silence_limit_percent: Annotated[int, Field(ge=1, le=100)] | None = None
 
 
 Settings = Annotated[
--- a/tests/membership/cluster.py
+++ b/tests/membership/cluster.py
@@ -109,9 +109,9 @@
             old, self.state = self.state, self.log.state.cluster
             self.hub.take_state(old, self.state)
 
-    async def propose(self, change: state_pb2.Change) -> bool:
+    async def propose(self, change: state_pb2.Change) -> state_pb2.ChangeResult:
         """Apply a change to the shared log."""
-        return self.log.apply(change).outcome == state_pb2.ACCEPTED
+        return self.log.apply(change)
 
     async def start(self) -> None:
         """Serve members."""
