Plan claim shards on the leader

The voters of claim shards must follow the members. The leader plans them from its leases each tick; a failure of the plan is counted and ends nothing else.

--- a/src/lentilfork/controller.py
+++ b/src/lentilfork/controller.py
@@ -21,10 +21,13 @@
 from lentilfork.agreement import Replica
 from lentilfork.borders.operators import OperatorService
 from lentilfork.channels import Channels
+from lentilfork.claims.plan import plan_shards
+from lentilfork.claims.plan import track_lost
 from lentilfork.counters import Counters
 from lentilfork.errors import Failure
 from lentilfork.inspection import InspectionService
 from lentilfork.logs import Logger
+from lentilfork.membership.clocks import read_clock_ms
 from lentilfork.membership.hub import Hub
 from lentilfork.membership.leadership import Leadership
 from lentilfork.membership.leases import Leases
@@ -34,7 +37,9 @@
 from lentilfork.schema import control_pb2_grpc
 from lentilfork.schema import state_pb2
 from lentilfork.settings import ControllerSettings
+from lentilfork.state.codec import encode_claim_shard
 from lentilfork.state.model import ClusterState
+from lentilfork.state.model import Voter
 
 __all__ = ["ControllerRole"]
 
@@ -75,7 +80,7 @@
             settings.name,
             leadership,
             self.propose,
-            plan_shards,
+            ShardPlan(self.replica).plan,
             SilenceLimit(settings.silence_limit_percent),
             self.channels,
             self.counters,
@@ -173,9 +178,30 @@
         }
 
 
-def plan_shards(state: ClusterState, leases: Leases) -> list[state_pb2.ClaimShard]:
-    """Return the claim shards to put."""
-    return []
+class ShardPlan:
+    """Plan the claim shards while this controller leads."""
+
+    replica: Replica
+    # The term in which voters were seen lost.
+    term: int
+    # Since when each lost voter is, in milliseconds of the clock of leases.
+    lost_since_ms: dict[Voter, int]
+
+    def __init__(self, replica: Replica) -> None:
+        self.replica = replica
+        self.term = 0
+        self.lost_since_ms = {}
+
+    def plan(self, state: ClusterState, leases: Leases) -> list[state_pb2.ClaimShard]:
+        """Return the claim shards to put next."""
+        if self.replica.term != self.term:
+            self.term = self.replica.term
+            self.lost_since_ms = {}
+        now_ms = read_clock_ms()
+        self.lost_since_ms = track_lost(state, self.lost_since_ms, now_ms)
+        reports = leases.list_synced()
+        planned = plan_shards(state, reports, self.lost_since_ms, now_ms)
+        return list(map(encode_claim_shard, planned))
 
 
 def report_failed_task(task: "asyncio.Task[None]") -> None:
--- a/src/lentilfork/membership/feed.py
+++ b/src/lentilfork/membership/feed.py
@@ -63,6 +63,8 @@
     # Newest state received; ahead of `state` only until the first is confirmed.
     received: ClusterState
     lease: OwnLease
+    # In force at the leader when it last acknowledged a heartbeat of this process.
+    acknowledged_generation: int
     # Generations that were in force here, oldest first.
     history: deque[int]
     # The controller this process is joined to, "" for none.
@@ -101,6 +103,7 @@
         self.state = ClusterState()
         self.received = self.state
         self.lease = OwnLease(read_clock_ms())
+        self.acknowledged_generation = 0
         self.history = deque([0], maxlen=KEPT_GENERATIONS)
         self.controller = ""
         self.listeners = []
@@ -307,6 +310,7 @@
         self.lease.acknowledge(
             update.acknowledged, sent_ms, update.admitted, update.generation
         )
+        self.acknowledged_generation = update.generation
         for sequence in [key for key in self.sent_ms if key < update.acknowledged]:
             del self.sent_ms[sequence]
         if self.ended and not update.admitted:
--- a/src/lentilfork/membership/keeper.py
+++ b/src/lentilfork/membership/keeper.py
@@ -61,6 +61,8 @@
     # When a change of what was refused may be proposed again.
     refused_ms: dict[str, int]
     ticked_ms: int
+    # The last attempt to plan claim shards raised.
+    plan_failed: bool
 
     def __init__(
         self,
@@ -81,6 +83,7 @@
         self.under_way = {}
         self.refused_ms = {}
         self.ticked_ms = 0
+        self.plan_failed = False
 
     async def run(self, leadership: Leadership) -> None:
         """Tick until cancelled."""
@@ -107,13 +110,23 @@
             for subject, until_ms in self.refused_ms.items()
             if until_ms > now_ms
         }
-        shards = self.plan_shards(state, self.leases)
-        changes = [
-            *self.leases.plan(state, now_ms),
-            *(state_pb2.Change(put_claim_shard=shard) for shard in shards),
-        ]
-        for change in changes:
+        for change in self.leases.plan(state, now_ms):
             self.begin_change(change, state)
+        for shard in self.find_shards(state):
+            self.begin_change(state_pb2.Change(put_claim_shard=shard), state)
+
+    def find_shards(self, state: ClusterState) -> list[state_pb2.ClaimShard]:
+        """Return the claim shards to put; a failure must not end the leases."""
+        try:
+            shards = self.plan_shards(state, self.leases)
+        except Exception as error:
+            self.counters.add("leases.plan_failed")
+            if not self.plan_failed:
+                log.error("claim shards not planned", error=repr(error))
+            self.plan_failed = True
+            return []
+        self.plan_failed = False
+        return shards
 
     def follow(self, state: ClusterState, leads: bool) -> None:
         """Notice that this controller has become leader or no longer leads."""
