--- a/src/lentilfork/membership/feed.py
+++ b/src/lentilfork/membership/feed.py
@@ -78,8 +78,6 @@
     # Send times of heartbeats that are not acknowledged, by sequence.
     sent_ms: dict[int, int]
     sequence: int
-    # In force at the leader when it last acknowledged a heartbeat.
-    acknowledged_generation: int
     ended: bool
     want_snapshot: bool
     # Streams in a row that brought no acknowledgement.
@@ -112,7 +110,6 @@
         self.released = asyncio.Event()
         self.sent_ms = {}
         self.sequence = 0
-        self.acknowledged_generation = 0
         self.ended = False
         self.want_snapshot = False
         self.failures = 0
@@ -310,7 +307,6 @@
         self.lease.acknowledge(
             update.acknowledged, sent_ms, update.admitted, update.generation
         )
-        self.acknowledged_generation = update.generation
         for sequence in [key for key in self.sent_ms if key < update.acknowledged]:
             del self.sent_ms[sequence]
         if self.ended and not update.admitted:
