--- a/src/lentilfork/cli/views.py
+++ b/src/lentilfork/cli/views.py
@@ -234,7 +234,7 @@
         dump = await client.dump(address.ok_value)
         if isinstance(dump, Err):
             return dump
-        self.print(dump.ok_value)
+        self.print(format_json(json.loads(dump.ok_value)))
         return Ok(None)
 
     async def find_address(
--- a/src/lentilfork/controller.py
+++ b/src/lentilfork/controller.py
@@ -92,6 +92,11 @@
         self.server = None
         self.tasks = []
 
+    @property
+    def generation(self) -> int:
+        """Generation of the agreed state in force here."""
+        return self.replica.state.cluster.generation
+
     async def start(self) -> Result[None, Failure]:
         """Open the data folder and the server; a failure leaves nothing open."""
         checked = self.channels.check()
