--- /dev/null
+++ b/tests/membership/member_process.py
@@ -0,0 +1,63 @@
+"""A process that is a member and does nothing else; its dump tells its history.
+
+Usage: member_process.py NAME SERVICE DATA_CENTRE OWN_ADDRESS CONTROLLER...
+"""
+
+import asyncio
+import sys
+
+from lentilfork.channels import Channels
+from lentilfork.counters import Counters
+from lentilfork.inspection import InspectionService
+from lentilfork.membership import Feed
+from lentilfork.membership import draw_incarnation
+from lentilfork.schema import admin_pb2_grpc
+from lentilfork.schema import control_pb2
+from lentilfork.schema import state_pb2
+
+POLL_S = 0.005
+
+
+async def run(
+    name: str, service: str, data_centre: str, address: str, *controllers: str
+) -> None:
+    agent = state_pb2.Agent(
+        name=name,
+        incarnation=draw_incarnation(),
+        service=service,
+        data_centre=data_centre,
+        packet_address=address,
+        control_address=address,
+        slots=1,
+    )
+    counters = Counters()
+    channels = Channels()
+    feed = Feed(
+        controllers, channels, counters, lambda: control_pb2.Heartbeat(agent=agent)
+    )
+    # Each time the lease began or ended to hold: whether, and the generation.
+    leases: list[tuple[bool, int]] = []
+
+    def make_dump() -> dict[str, object]:
+        return {
+            **feed.dump(),
+            "leases": leases,
+            "incarnation": agent.incarnation,
+            "agents": sorted(feed.state.agents),
+        }
+
+    server = channels.make_server(address)
+    admin_pb2_grpc.add_InspectionServicer_to_server(
+        InspectionService(make_dump, counters), server
+    )
+    await server.start()
+    running = asyncio.create_task(feed.run())
+    while not running.done():
+        holds = feed.lease_holds
+        if holds != (bool(leases) and leases[-1][0]):
+            leases.append((holds, feed.state.generation))
+        await asyncio.sleep(POLL_S)
+
+
+if __name__ == "__main__":
+    asyncio.run(run(*sys.argv[1:]))
