--- a/src/lentilfork/bench/fabric.py
+++ b/src/lentilfork/bench/fabric.py
@@ -68,7 +68,6 @@
         ttl=TIME_TO_LIVE_HOPS,
         data=datagram,
     )
-    packet.len = len(packet)
     return bytes(packet)
 
 
