Prefer a controller that reaches the leader

A controller cut off from the leader answers for itself, with every member silent. Waiting for a generation counted no live member there and would have reported success; status and waiting now take the leader's view only, and the commands move on to the next controller. Definition files share the limits of the state.

--- a/src/lentilfork/cli/application.py
+++ b/src/lentilfork/cli/application.py
@@ -12,6 +12,7 @@
 from lentilfork.cli.command import CONNECTION_OPTIONS
 from lentilfork.cli.presets import PresetApply
 from lentilfork.cli.presets import PresetList
+from lentilfork.cli.presets import PresetRemove
 from lentilfork.cli.presets import PresetUse
 from lentilfork.cli.services import ServiceApply
 from lentilfork.cli.services import ServiceList
@@ -33,6 +34,7 @@
     MembersView,
     PresetApply,
     PresetList,
+    PresetRemove,
     PresetUse,
     ServiceApply,
     ServiceList,
--- a/src/lentilfork/cli/client.py
+++ b/src/lentilfork/cli/client.py
@@ -32,7 +32,7 @@
     from lentilfork.schema.admin_pb2_grpc import AdministrationAsyncStub
     from lentilfork.schema.admin_pb2_grpc import InspectionAsyncStub
 
-__all__ = ["ControllerClient", "describe_unknown"]
+__all__ = ["ControllerClient", "describe_unknown", "knows_leader"]
 
 # Longest wait for one controller before the next one is asked.
 ATTEMPT_TIMEOUT_S: Final = 2.0
@@ -40,6 +40,7 @@
 SUBMIT_ATTEMPT_TIMEOUT_S: Final = 4.0
 CONNECT_TIMEOUT_S: Final = 1.0
 RETRY_DELAY_S: Final = 0.2
+LEADER: Final = "leader"
 
 Reply = TypeVar("Reply")
 
@@ -57,10 +58,16 @@
     )
 
 
+def knows_leader(status: admin_pb2.Status) -> bool:
+    """Return whether a status is the leader's, not that of one cut off from it."""
+    return any(member.state == LEADER for member in status.members)
+
+
 class ControllerClient:
     """The administration API as one operator command uses it."""
 
-    connection: Connection
+    # Addresses of the controllers in the order in which they are asked.
+    controllers: list[str]
     channels: Channels
     # Longest time over all attempts of one call.
     timeout_s: float
@@ -68,7 +75,7 @@
     problems: dict[str, str]
 
     def __init__(self, connection: Connection, timeout_s: float) -> None:
-        self.connection = connection
+        self.controllers = list(connection.controllers)
         self.channels = Channels(connection.tls)
         self.timeout_s = timeout_s
         self.problems = {}
@@ -85,7 +92,7 @@
         for round_number in itertools.count():
             if round_number:
                 await asyncio.sleep(RETRY_DELAY_S)
-            for address in self.connection.controllers:
+            for address in tuple(self.controllers):
                 if round_number and loop.time() >= deadline:
                     return
                 yield address
@@ -102,7 +109,7 @@
 
     def fail(self, step: str, code: ExitCode, hint: str = "") -> Failure:
         """Return the failure of a step that no controller answered."""
-        peers = ", ".join(self.connection.controllers)
+        peers = ", ".join(self.controllers)
         problems = "; ".join(
             f"{address} {problem}" for address, problem in self.problems.items()
         )
@@ -112,41 +119,73 @@
         self,
         step: str,
         call: Callable[["AdministrationAsyncStub"], Awaitable[Reply]],
+        accept: Callable[[Reply], bool],
     ) -> Result[Reply, Failure]:
-        """Return the first answer of any controller."""
+        """Return the first answer that is accepted.
+
+        When all controllers were asked and none of them gave such an answer, the
+        first other answer is returned.
+        """
+        others: list[Reply] = []
+        asked: set[str] = set()
         async for address in self.list_attempts():
+            if others and address in asked:
+                break
+            asked.add(address)
             try:
-                stub = await self.connect(address)
-                return Ok(await call(stub))
+                reply = await call(await self.connect(address))
             except TimeoutError:
                 continue
             except grpc.aio.AioRpcError as error:
                 self.problems[address] = describe_rpc_error(error)
+                continue
+            if accept(reply):
+                self.prefer(address)
+                return Ok(reply)
+            others.append(reply)
+        if others:
+            return Ok(others[0])
         return Err(self.fail(step, ExitCode.UNREACHABLE))
 
+    def prefer(self, address: str) -> None:
+        """Ask this controller first from now on."""
+        self.controllers.sort(key=lambda other: other != address)
+
     async def get_status(self) -> Result[admin_pb2.Status, Failure]:
-        """Return what a controller knows of the system and its members."""
+        """Return what the leader knows, else what another controller does."""
         request = admin_pb2.GetStatusRequest()
         return await self.read(
             "get status",
             lambda stub: stub.GetStatus(request, timeout=ATTEMPT_TIMEOUT_S),
+            knows_leader,
         )
 
     async def get_state(self) -> Result[state_pb2.Snapshot, Failure]:
-        """Return the agreed state as a controller holds it."""
+        """Return the agreed state, as new as the leader's if any is."""
+        status = await self.get_status()
+        if isinstance(status, Err):
+            return status
+        newest = status.ok_value.generation
         request = admin_pb2.GetStateRequest()
         return await self.read(
-            "get state", lambda stub: stub.GetState(request, timeout=ATTEMPT_TIMEOUT_S)
+            "get state",
+            lambda stub: stub.GetState(request, timeout=ATTEMPT_TIMEOUT_S),
+            lambda state: state.generation >= newest,
         )
 
     async def get_history(
         self, after_generation: int
     ) -> Result[admin_pb2.History, Failure]:
         """Return the changes accepted after a generation."""
+        # Puts a controller that reaches the leader first.
+        status = await self.get_status()
+        if isinstance(status, Err):
+            return status
         request = admin_pb2.GetHistoryRequest(after_generation=after_generation)
         return await self.read(
             "get history",
             lambda stub: stub.GetHistory(request, timeout=ATTEMPT_TIMEOUT_S),
+            lambda _history: True,
         )
 
     async def watch(self) -> AsyncIterator[Result[admin_pb2.Status, Failure]]:
--- a/src/lentilfork/cli/definitions.py
+++ b/src/lentilfork/cli/definitions.py
@@ -2,6 +2,7 @@
 
 The models are the border between an operator's JSON file and the messages of the
 administration API; their JSON Schemas are published beside the settings' schema.
+The controllers check the messages again, against the same limits and the state.
 """
 
 import ipaddress
@@ -13,9 +14,14 @@
 from pydantic import TypeAdapter
 
 from lentilfork.schema import state_pb2
-from lentilfork.settings import MAXIMUM_PORT
 from lentilfork.settings import DocumentModel
 from lentilfork.settings import ProcessName
+from lentilfork.state.validation import FULL_PERCENT
+from lentilfork.state.validation import MAXIMUM_DEADLINE_MS
+from lentilfork.state.validation import MAXIMUM_LONG_PATHS
+from lentilfork.state.validation import MAXIMUM_PORT
+from lentilfork.state.validation import MAXIMUM_QUEUE_PER_SLOT
+from lentilfork.state.validation import MAXIMUM_TIME_MS
 
 __all__ = [
     "PRESET_ADAPTER",
@@ -24,9 +30,6 @@
     "ServiceDefinition",
 ]
 
-MAXIMUM_TIME_MS: Final = 600_000
-MAXIMUM_LONG_PATHS: Final = 64
-
 
 def check_ip_address(text: str) -> str:
     """Return `text` if it is an IPv4 address, else raises ValueError."""
@@ -40,7 +43,7 @@
 IpAddress = Annotated[str, AfterValidator(check_ip_address)]
 PathSegment = Annotated[str, Field(pattern=r"^[^/]+$", max_length=255)]
 Milliseconds = Annotated[int, Field(ge=0, le=MAXIMUM_TIME_MS)]
-Percent = Annotated[int, Field(ge=0, le=100)]
+Percent = Annotated[int, Field(ge=0, le=FULL_PERCENT)]
 
 
 class ServiceDefinition(DocumentModel):
@@ -49,7 +52,7 @@
     name: ProcessName
     address: IpAddress
     port: Annotated[int, Field(ge=1, le=MAXIMUM_PORT)]
-    deadline_ms: Annotated[int, Field(ge=1, le=MAXIMUM_TIME_MS)]
+    deadline_ms: Annotated[int, Field(ge=1, le=MAXIMUM_DEADLINE_MS)]
     # First path segments whose answers are long and served block-wise.
     long_paths: Annotated[
         tuple[PathSegment, ...], Field(max_length=MAXIMUM_LONG_PATHS)
@@ -65,8 +68,8 @@
 
     name: ProcessName
     # Requests that may wait for each slot, and for how long.
-    queue_per_slot: Annotated[int, Field(ge=0, le=10_000)]
-    queue_time_ms: Milliseconds
+    queue_per_slot: Annotated[int, Field(ge=0, le=MAXIMUM_QUEUE_PER_SLOT)]
+    queue_time_ms: Annotated[int, Field(ge=1, le=MAXIMUM_TIME_MS)]
     # Retries allowed per hundred requests.
     retry_budget_percent: Percent
     # A second try of an idempotent request starts after this time; 0: never.
--- a/src/lentilfork/cli/presets.py
+++ b/src/lentilfork/cli/presets.py
@@ -22,7 +22,7 @@
 from lentilfork.errors import Failure
 from lentilfork.settings import load_document
 
-__all__ = ["PresetApply", "PresetList", "PresetUse"]
+__all__ = ["PresetApply", "PresetList", "PresetRemove", "PresetUse"]
 
 
 class PresetApply(ChangeCommand):
@@ -74,6 +74,28 @@
         return await self.submit(client, change.ok_value, f"preset {preset} in use")
 
 
+class PresetRemove(ChangeCommand):
+    """Remove a preset."""
+
+    name = "preset remove"
+    description = "Remove a preset that is not in force."
+    arguments: ClassVar[list[Argument]] = [argument("preset", "Name of the preset")]
+    options = CHANGE_OPTIONS
+    help = """
+Examples:
+  lentilfork preset remove festival
+  lentilfork preset remove festival --expect 40
+"""
+
+    async def run_with(self, client: ControllerClient) -> Result[None, Failure]:
+        """Submit the removal."""
+        preset = self.argument("preset")
+        change = self.make_change(remove_preset=preset)
+        if isinstance(change, Err):
+            return change
+        return await self.submit(client, change.ok_value, f"preset {preset} removed")
+
+
 class PresetList(ClientCommand):
     """List the presets."""
 
@@ -92,8 +114,14 @@
         if isinstance(state, Err):
             return state
         active = state.ok_value.active_preset
+        # What `preset use --expect` compares with; the others have none.
+        used = {active: state.ok_value.active_preset_version}
         presets = [
-            {**to_values(preset), "active": preset.name == active}
+            {
+                **to_values(preset),
+                "active": preset.name == active,
+                "active_version": used.get(preset.name),
+            }
             for preset in state.ok_value.presets
         ]
         if self.option("json"):
@@ -123,4 +151,5 @@
             "VERSION",
         )
         self.print(format_table(headings, rows))
+        self.print(f"\nin force: {active}, at version {used[active]}")
         return Ok(None)
--- a/src/lentilfork/cli/progress.py
+++ b/src/lentilfork/cli/progress.py
@@ -9,6 +9,7 @@
 from result import Result
 
 from lentilfork.cli.client import ControllerClient
+from lentilfork.cli.client import knows_leader
 from lentilfork.errors import ExitCode
 from lentilfork.errors import Failure
 from lentilfork.schema import admin_pb2
@@ -41,9 +42,9 @@
     live = [member for member in status.members if member.state != SILENT]
     lagging = list_lagging(status, generation)
     count = f"{len(live) - len(lagging)} of {len(live)}"
+    if not knows_leader(status):
+        return f"generation {generation}: no controller that answers reaches a leader"
     text = f"generation {generation} in force at {count} live members"
-    if status.generation < generation:
-        text += "; the controller that was asked has not got it yet"
     if lagging:
         names = ", ".join(describe_lagging(member) for member in lagging)
         text += f"; waiting for {names}"
@@ -51,6 +52,12 @@
     return f"{text}; silent: {', '.join(silent)}" if silent else text
 
 
+def is_in_force(status: admin_pb2.Status, generation: int) -> bool:
+    """Return whether the leader knows a generation in force at all live members."""
+    known = knows_leader(status) and status.generation >= generation
+    return known and not list_lagging(status, generation)
+
+
 async def wait_until_in_force(
     client: ControllerClient,
     generation: int,
@@ -72,11 +79,10 @@
             if text != shown:
                 show(text)
             shown = text
-            behind = status.ok_value.generation < generation
-            if not behind and not list_lagging(status.ok_value, generation):
+            if is_in_force(status.ok_value, generation):
                 return Ok(None)
         if loop.time() >= deadline:
-            peers = ", ".join(client.connection.controllers)
+            peers = ", ".join(client.controllers)
             message = f"not everywhere after {wait_s:g} s: {shown}"
             return Err(Failure("wait", peers, message, ExitCode.LAGGING))
         await asyncio.sleep(POLL_INTERVAL_S)
--- a/src/lentilfork/cli/views.py
+++ b/src/lentilfork/cli/views.py
@@ -3,6 +3,7 @@
 import json
 from collections import Counter
 from typing import ClassVar
+from typing import Final
 
 from cleo.commands.command import Command
 from cleo.helpers import argument
@@ -15,6 +16,7 @@
 
 from lentilfork import VERSION
 from lentilfork.cli.client import ControllerClient
+from lentilfork.cli.client import knows_leader
 from lentilfork.cli.command import JSON_OPTION
 from lentilfork.cli.command import ClientCommand
 from lentilfork.cli.command import parse_number
@@ -38,9 +40,16 @@
     "WatchView",
 ]
 
+CUT_OFF: Final = (
+    "generation: {generation} or later\n"
+    "leader: none known; no controller that answers reaches a majority"
+)
+
 
 def describe_status(status: admin_pb2.Status) -> str:
     """Return the state of the system in a few lines."""
+    if not knows_leader(status):
+        return CUT_OFF.format(generation=status.generation)
     states = Counter(f"{member.role} {member.state}" for member in status.members)
     lagging = list_lagging(status, status.generation)
     names = ", ".join(describe_lagging(member) for member in lagging)
@@ -48,7 +57,7 @@
     return "\n".join(
         (
             f"generation: {status.generation}",
-            f"leader: {status.leader or 'none known'} (term {status.term})",
+            f"leader: {status.leader} (term {status.term})",
             f"preset in force: {status.active_preset}",
             f"members: {counts or 'none'}",
             f"lagging: {names or 'none'}",
@@ -108,7 +117,7 @@
                 member.name,
                 member.role,
                 member.state,
-                member.data_centre,
+                member.data_centre or "-",
                 member.service or "-",
                 member.generation,
                 member.silent_ms,
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -47,17 +47,21 @@
 
 
 def make_status(generation: int, **members: tuple[str, int]) -> admin_pb2.Status:
-    """Return a status with agents by name, each with its state and generation."""
+    """Return the leader's status with agents, each in its state and generation."""
+    leader = admin_pb2.MemberStatus(
+        name="control-1", role="controller", state="leader", generation=generation
+    )
+    agents = [
+        admin_pb2.MemberStatus(
+            name=name, role="agent", state=state, generation=reached, reason="busy"
+        )
+        for name, (state, reached) in members.items()
+    ]
     return admin_pb2.Status(
         generation=generation,
-        leader="control-1",
+        leader=leader.name,
         active_preset="peak",
-        members=[
-            admin_pb2.MemberStatus(
-                name=name, role="agent", state=state, generation=reached, reason="busy"
-            )
-            for name, (state, reached) in members.items()
-        ],
+        members=[*agents, leader],
     )
 
 
@@ -124,9 +128,41 @@
     )
     assert finished.code == ExitCode.OK, finished.errors
     shown = finished.errors.splitlines()
-    assert "0 of 1 live members" in shown[0]
+    assert "0 of 2 live members" in shown[0]
     assert "waiting for two (at 11, busy); silent: three" in shown[1]
-    assert "2 of 2 live members" in shown[2]
+    assert "3 of 3 live members" in shown[2]
+
+
+async def test_wait_takes_no_word_from_a_controller_cut_off_from_the_leader(
+    controllers: list[StandInController],
+) -> None:
+    cut_off, other = controllers
+    cut_off.answers = [make_accepted(12)]
+    alone = admin_pb2.MemberStatus(name="one", state="silent")
+    cut_off.statuses = [admin_pb2.Status(generation=12, members=[alone])]
+    other.statuses = [make_status(12, one=("live", 11))]
+    command = ("preset", "use", "peak", "--wait", "1", "--controllers")
+    both = await run_command(*command, join(controllers))
+    assert both.code == ExitCode.LAGGING
+    assert "one (at 11, busy)" in both.errors
+    single = await run_command(*command, cut_off.address)
+    assert single.code == ExitCode.LAGGING
+    assert "no controller that answers reaches a leader" in single.errors
+
+
+async def test_reads_prefer_the_newest_state(
+    controllers: list[StandInController],
+) -> None:
+    controllers[0].statuses = [make_status(9)]
+    states = [
+        state_pb2.Snapshot(
+            generation=generation, services=[state_pb2.Service(name=name)]
+        )
+        for generation, name in ((8, "older"), (9, "newer"))
+    ]
+    controllers[0].state, controllers[1].state = states
+    finished = await run_command("service", "list", "-c", join(controllers))
+    assert "newer" in finished.output
 
 
 async def test_wait_that_is_not_met_ends_with_its_own_code(
@@ -265,7 +301,7 @@
 READS: dict[str, tuple[list[str], list[tuple[str, object]]]] = {
     "services": (["service", "list"], [("name", "warnings"), ("version", 2**60)]),
     "service": (["service", "show", "warnings"], [("id", 3), ("port", 5683)]),
-    "presets": (["preset", "list"], [("name", "peak"), ("active", True)]),
+    "presets": (["preset", "list"], [("name", "peak"), ("active_version", 7)]),
     "members": (["members"], [("name", "one"), ("generation", 2**60)]),
     "status": (["status"], [("generation", 2**60), ("active_preset", "peak")]),
     "history": (["history", "--after", "1"], [("generation", 2), ("operator", "b")]),
@@ -291,6 +327,7 @@
         services=[service],
         presets=[state_pb2.Preset(name="peak")],
         active_preset="peak",
+        active_preset_version=7,
     )
     finished = await run_command(
         *arguments, "--json", LENTILFORK_CONTROLLERS=join(controllers)
