--- a/src/lentilfork/cli/client.py
+++ b/src/lentilfork/cli/client.py
@@ -39,6 +39,8 @@
 # Longest wait for a controller to commit a change.
 SUBMIT_ATTEMPT_TIMEOUT_S: Final = 4.0
 CONNECT_TIMEOUT_S: Final = 1.0
+# Longest wait for the reason why there is no connection.
+PROBE_TIMEOUT_S: Final = 0.5
 RETRY_DELAY_S: Final = 0.2
 LEADER: Final = "leader"
 
@@ -50,6 +52,16 @@
     return f"{error.code().name.lower().replace('_', ' ')}: {error.details() or '-'}"
 
 
+async def find_connect_problem(stub: "AdministrationAsyncStub") -> str:
+    """Return why there is no connection: only a call that fails tells."""
+    request = admin_pb2.GetStatusRequest()
+    try:
+        await stub.GetStatus(request, timeout=PROBE_TIMEOUT_S)
+    except grpc.aio.AioRpcError as error:
+        return f"no connection; {describe_rpc_error(error)}"
+    return "no connection in time"
+
+
 def describe_unknown(change_id: str) -> str:
     """Return what to do about a change without a known outcome."""
     return (
@@ -100,12 +112,13 @@
     async def connect(self, address: str) -> "AdministrationAsyncStub":
         """Return a stub once the channel is ready; raises TimeoutError."""
         channel = self.channels.get(address)
+        stub: AdministrationAsyncStub = admin_pb2_grpc.AdministrationStub(channel)
         try:
             await asyncio.wait_for(channel.channel_ready(), CONNECT_TIMEOUT_S)
         except TimeoutError:
-            self.problems[address] = "no connection"
+            self.problems[address] = await find_connect_problem(stub)
             raise
-        return admin_pb2_grpc.AdministrationStub(channel)
+        return stub
 
     def fail(self, step: str, code: ExitCode, hint: str = "") -> Failure:
         """Return the failure of a step that no controller answered."""
--- a/src/lentilfork/daemon.py
+++ b/src/lentilfork/daemon.py
@@ -8,6 +8,7 @@
 
 import argparse
 import asyncio
+import os
 import signal
 import sys
 from collections.abc import AsyncIterator
@@ -39,6 +40,8 @@
 LOG: Final = Logger("daemon")
 # Longest wait for a role to close its sockets and files.
 STOP_TIMEOUT_S: Final = 10.0
+# Else the library writes a line for each handshake it refuses.
+GRPC_VERBOSITY: Final = "ERROR"
 
 
 @singledispatch
@@ -176,6 +179,7 @@
 
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run the daemon; returns its exit code."""
+    os.environ.setdefault("GRPC_VERBOSITY", GRPC_VERBOSITY)
     options = parse_arguments(arguments)
     loaded = load_settings(options.settings)
     if isinstance(loaded, Err):
--- a/src/lentilfork/logs.py
+++ b/src/lentilfork/logs.py
@@ -1,15 +1,19 @@
 """Structured logs: logbook records as text or as JSON lines on standard error.
 
 Counters come first; a record is written only when a state changes. Fields are
-passed as keyword arguments and land in the record's `kwargs`.
+passed as keyword arguments and land in the record's `kwargs`. Each record is one
+line whatever its fields hold. What libraries log through `logging` comes out the
+same way, from warnings on.
 """
 
 import json
+import logging
 import sys
 from typing import TYPE_CHECKING
 from typing import Any
 
 import logbook
+from logbook.compat import RedirectLoggingHandler
 
 if TYPE_CHECKING:
     from lentilfork.settings import LogSettings
@@ -19,16 +23,31 @@
 Logger = logbook.Logger
 
 
+def simplify(value: object) -> object:
+    """Return a field's value as JSON has it; what JSON lacks becomes text."""
+    return value if isinstance(value, bool | int | float) else str(value)
+
+
 def format_record(record: Any, process: str) -> dict[str, Any]:
-    """Return the fields of a record that are written."""
-    return {
-        "time": record.time.isoformat(timespec="milliseconds"),
+    """Return the fields of a record that are written; the time is UTC."""
+    fields = {
+        "time": f"{record.time.isoformat(timespec='milliseconds')}Z",
         "level": record.level_name.lower(),
         "process": process,
         "logger": record.channel,
         "message": record.message,
-        **{key: str(value) for key, value in record.kwargs.items()},
+        **{key: simplify(value) for key, value in record.kwargs.items()},
     }
+    if record.exc_info:
+        fields["exception"] = record.formatted_exception
+    return fields
+
+
+def quote(value: object) -> str:
+    """Return a value for text lines, quoted where it would not read as one word."""
+    text = str(value)
+    plain = text.isprintable() and not any(sign in text for sign in ' "=')
+    return text if text and plain else json.dumps(text)
 
 
 def configure_logs(settings: "LogSettings", process: str) -> None:
@@ -39,11 +58,15 @@
 
     def write_text(record: Any, _handler: Any) -> str:
         fields = format_record(record, process)
-        head = " ".join(str(fields.pop(key)) for key in ("time", "level", "process"))
-        logger, message = fields.pop("logger"), fields.pop("message")
-        tail = "".join(f" {key}={value}" for key, value in fields.items())
+        head = " ".join(fields.pop(key) for key in ("time", "level", "process"))
+        logger = fields.pop("logger")
+        message = " ".join(fields.pop("message").splitlines())
+        tail = "".join(f" {key}={quote(value)}" for key, value in fields.items())
         return f"{head} {logger}: {message}{tail}"
 
     handler = logbook.StreamHandler(sys.stderr, level=settings.level.upper())
     handler.formatter = write_json if settings.format == "json" else write_text
     handler.push_application()
+    logging.basicConfig(
+        level=logging.WARNING, handlers=[RedirectLoggingHandler()], force=True
+    )
