--- a/src/lentilfork/agent.py
+++ b/src/lentilfork/agent.py
@@ -146,14 +146,17 @@
     def make_heartbeat(self) -> control_pb2.Heartbeat:
         """Return what this process announces of itself."""
         self.renew_voter()
+        settings = self.settings
         agent = state_pb2.Agent(
-            name=self.settings.name,
+            name=settings.name,
             incarnation=self.member.incarnation,
-            service=self.settings.service,
-            data_centre=self.settings.data_centre,
-            packet_address=self.settings.packet_address,
-            control_address=self.settings.control_address,
-            slots=self.settings.slots,
+            service=settings.service,
+            data_centre=settings.data_centre,
+            packet_address=settings.announced_packet_address or settings.packet_address,
+            control_address=(
+                settings.announced_control_address or settings.control_address
+            ),
+            slots=settings.slots,
             draining=self.leaving or not self.backend.serving,
         )
         return control_pb2.Heartbeat(
--- /dev/null
+++ b/src/lentilfork/bench/detours.py
@@ -0,0 +1,101 @@
+"""Wiring of a deployment with a proxy on every path between its processes.
+
+A path is named by its two ends, the wildcard `*` standing for any process:
+
+    fabric>entry-1          packets to a balancer
+    *>warnings-1            packets and claims to an agent, from any process
+    warnings-1>fabric       answers
+    warnings-1>server       calls to the backend server
+    warnings-1>control-1    heartbeats and updates of a member
+
+Paths between controllers are direct: a controller is known by the address it
+binds. The proxies run in this process.
+"""
+
+import fnmatch
+from dataclasses import replace
+from typing import Any
+from typing import Literal
+
+from lentilfork.bench.addresses import AddressBlock
+from lentilfork.bench.plan import Host
+from lentilfork.bench.plan import Wiring
+from lentilfork.bench.proxy import PathConfig
+from lentilfork.bench.proxy import Proxy
+from lentilfork.bench.proxy import open_proxy
+
+__all__ = ["Detours"]
+
+
+class Detours(Wiring):
+    """Opens a proxy for each path when the path is first asked for.
+
+    Used within a running event loop; close it after the deployment.
+    """
+
+    seed: int
+    addresses: AddressBlock
+    # By path name and kind.
+    proxies: dict[tuple[str, str], Proxy]
+
+    def __init__(self, seed: int) -> None:
+        self.seed = seed
+        self.addresses = AddressBlock()
+        self.proxies = {}
+
+    def close(self) -> None:
+        """Close all proxies."""
+        for proxy in self.proxies.values():
+            proxy.close()
+        self.addresses.close()
+
+    def detour(self, path: str, kind: Literal["udp", "tcp"], target: str) -> str:
+        """Return the address of the proxy on a path; opens it on first use."""
+        proxy = self.proxies.get((path, kind))
+        if proxy is None:
+            _, _, port = target.rpartition(":")
+            listen = self.addresses.take_address(int(port))
+            config = PathConfig(name=path, kind=kind, listen=listen, target=target)
+            proxy = open_proxy(config, self.seed)
+            self.proxies[path, kind] = proxy
+        return proxy.config.listen
+
+    def apply(self, pattern: str, **faults: Any) -> list[str]:
+        """Change faults on all paths whose names match; returns these names.
+
+        Raises ValueError where none matches or a fault is wrong.
+        """
+        names = [name for name, _ in self.proxies if fnmatch.fnmatchcase(name, pattern)]
+        if not names:
+            raise ValueError(f"no path matches {pattern}")
+        for (name, _), proxy in self.proxies.items():
+            if name in names:
+                proxy.apply(faults)
+        return names
+
+    def get_controller(self, member: str, controller: Host) -> str:
+        """Return where `member` reaches a controller."""
+        path = f"{member}>{controller.name}"
+        return self.detour(path, "tcp", controller.control_address)
+
+    def get_balancer(self, balancer: Host) -> str:
+        """Return where the fabric reaches a balancer."""
+        path = f"fabric>{balancer.name}"
+        return self.detour(path, "udp", balancer.packet_address)
+
+    def get_return(self, agent: str, return_address: str) -> str:
+        """Return where an agent sends answers."""
+        return self.detour(f"{agent}>fabric", "udp", return_address)
+
+    def get_server(self, agent: str, server_address: str) -> str:
+        """Return where an agent reaches its backend server."""
+        return self.detour(f"{agent}>server", "tcp", server_address)
+
+    def get_announced(self, agent: Host) -> Host:
+        """Return an agent's host with the addresses at which others reach it."""
+        path = f"*>{agent.name}"
+        return replace(
+            agent,
+            packet_address=self.detour(path, "udp", agent.packet_address),
+            control_address=self.detour(path, "tcp", agent.control_address),
+        )
--- a/src/lentilfork/bench/plan.py
+++ b/src/lentilfork/bench/plan.py
@@ -65,6 +65,10 @@
         """Return where an agent reaches its backend server."""
         return server_address
 
+    def get_announced(self, agent: Host) -> Host:
+        """Return an agent's host with the addresses at which others reach it."""
+        return agent
+
 
 class Plan:
     """What runs where in one deployment."""
@@ -213,8 +217,11 @@
     def make_agent_settings(self, endpoint: Endpoint) -> dict[str, Any]:
         """Return the settings of an agent."""
         name = endpoint.agent.name
+        announced = self.wiring.get_announced(endpoint.agent)
         return {
             **self.make_member_settings("agent", endpoint.agent),
+            "announced_packet_address": announced.packet_address,
+            "announced_control_address": announced.control_address,
             "return_address": self.wiring.get_return(name, self.return_address),
             "service": endpoint.service,
             "backend_server": self.wiring.get_server(name, endpoint.config.address),
--- a/src/lentilfork/settings.py
+++ b/src/lentilfork/settings.py
@@ -137,6 +137,10 @@
     controllers: Annotated[tuple[SocketAddress, ...], Field(min_length=1)]
     # UDP socket that balancers and other agents send envelopes to.
     packet_address: SocketAddress
+    # Where others reach this process; needed where addresses are translated on
+    # the way to it. None: at the addresses it binds.
+    announced_packet_address: SocketAddress | None = None
+    announced_control_address: SocketAddress | None = None
     # Where answers to callers go: the fabric's return address.
     return_address: SocketAddress
     service: ProcessName
