--- a/src/lentilfork/bench/backend_server.py
+++ b/src/lentilfork/bench/backend_server.py
@@ -17,6 +17,7 @@
 from collections import deque
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from collections.abc import Iterable
 from pathlib import Path
 from typing import Final
 from typing import Literal
@@ -45,6 +46,7 @@
 
 CODE_CHANGED: Final = 68
 CODE_CONTENT: Final = 69
+WORK_PREFIX: Final = "work="
 PART_BYTES: Final = 4_096
 STOP_GRACE_S: Final = 30.0
 HEALTH_SERVICES: Final = ("", "lentilfork.BackendServer")
@@ -228,7 +230,8 @@
     ) -> backend_pb2.BackendReply:
         """Run one short request."""
         async with self.hold_slot(request, context):
-            await self.work(self.config.service_time_ms)
+            work = find_work(request.query)
+            await self.work(self.config.service_time_ms, work)
             return self.answer(request)
 
     async def Fetch(  # type: ignore[override]  # noqa: N802
@@ -293,17 +296,18 @@
             self.counters.add("runs", outcome)
             self.slots.free()
 
-    async def work(self, mean_ms: float) -> None:
+    async def work(self, mean_ms: float, work: float | None = None) -> None:
         """Take the time of a request, or of a part of it."""
-        await asyncio.sleep(self.draw_service_time(mean_ms) / 1000)
+        await asyncio.sleep(self.draw_service_time(mean_ms, work) / 1000)
         await self.thawed.wait()
 
-    def draw_service_time(self, mean_ms: float) -> float:
-        """Return a service time in milliseconds."""
+    def draw_service_time(self, mean_ms: float, work: float | None) -> float:
+        """Return a service time in milliseconds; `work` replaces the drawn share."""
         age_s = time.monotonic() - self.started
         cold = age_s < self.config.cold_start_s
         factor = self.config.cold_start_factor if cold else 1.0
-        return mean_ms * factor * self.draw_unit() / self.behaviour.speed
+        unit = self.draw_unit() if work is None else work
+        return mean_ms * factor * unit / self.behaviour.speed
 
     def draw_unit(self) -> float:
         """Return a number with mean 1 of the distribution."""
@@ -326,6 +330,13 @@
         return backend_pb2.BackendReply(code=code, payload=answer.encode())
 
 
+def find_work(query: Iterable[str]) -> float | None:
+    """Return the work a replayed request brings along, in mean service times."""
+    found = (part for part in query if part.startswith(WORK_PREFIX))
+    text = next(found, None)
+    return None if text is None else float(text.removeprefix(WORK_PREFIX))
+
+
 async def run(config: BackendServerConfig) -> None:
     """Serve until asked to stop, then let running requests end."""
     server = BackendServer(config)
--- /dev/null
+++ b/src/lentilfork/bench/baselines.py
@@ -0,0 +1,293 @@
+"""Two simple load balancers to compare with, as processes of their own.
+
+Both hash a flow over the agents of its service (rendezvous hashing) and keep no
+directory. `hash` does so for each packet. `table` also remembers in each balancer
+where it sent a flow before, and shares that with no other balancer.
+
+Their agent runs what it is sent: it absorbs copies it has seen itself, queues for
+the slots of its backend server, and knows only the long answers it began itself.
+Balancers are told the agents by control lines. Run as
+`python -m lentilfork.bench.baselines balancer FILE` or `... agent FILE`.
+"""
+
+import asyncio
+import sys
+import time
+from collections import OrderedDict
+from pathlib import Path
+from typing import Final
+from typing import Literal
+
+import xxhash
+from pydantic import BaseModel
+from pydantic import ConfigDict
+from result import Ok
+
+from lentilfork.bench.control import ControlChange
+from lentilfork.bench.control import serve_control
+from lentilfork.borders.backends import BackendError
+from lentilfork.borders.backends import BackendServer
+from lentilfork.borders.callers import Answer
+from lentilfork.borders.callers import Request
+from lentilfork.borders.callers import encode_answer
+from lentilfork.borders.callers import make_failure_answer
+from lentilfork.borders.callers import make_not_run_answer
+from lentilfork.borders.callers import make_outcome_unknown_answer
+from lentilfork.borders.callers import parse_message
+from lentilfork.borders.datagrams import DatagramSocket
+from lentilfork.borders.packets import Packet
+from lentilfork.borders.packets import SocketPair
+from lentilfork.borders.packets import build_packet
+from lentilfork.borders.packets import parse_packet
+from lentilfork.settings import SocketAddress
+from lentilfork.settings import split_address
+
+__all__ = ["BaselineAgentConfig", "BaselineBalancerConfig", "Method"]
+
+Method = Literal["hash", "table"]
+Address = tuple[str, int]
+
+FLOWS_REMEMBERED: Final = 500_000
+ANSWERS_KEPT: Final = 20_000
+QUEUE_PER_SLOT: Final = 16
+QUEUE_TIME_S: Final = 1.5
+RUN_TIMEOUT_S: Final = 6.0
+COME_BACK_S: Final = 1
+CODE_INCOMPLETE: Final = 136
+STOP_TIMEOUT_S: Final = 20.0
+POLL_S: Final = 0.05
+
+
+class BaselineBalancerConfig(BaseModel):
+    """What one baseline balancer is told."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    packet_address: SocketAddress
+    method: Method
+
+
+class BaselineAgentConfig(BaseModel):
+    """What one baseline agent is told."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    packet_address: SocketAddress
+    return_address: SocketAddress
+    backend_server: SocketAddress
+    slots: int
+    long_paths: tuple[str, ...]
+
+
+class BaselineBalancer:
+    """Sends each packet to the agent its flow hashes to, or went to before."""
+
+    config: BaselineBalancerConfig
+    packets: DatagramSocket
+    # Agents' packet addresses by the service's address.
+    agents: dict[Address, list[Address]]
+    # Where flows went before, least recently used first; stays empty for "hash".
+    table: OrderedDict[bytes, Address]
+
+    def __init__(self, config: BaselineBalancerConfig) -> None:
+        self.config = config
+        self.packets = DatagramSocket(self.receive)
+        self.agents = {}
+        self.table = OrderedDict()
+
+    async def start(self) -> None:
+        """Bind the packet socket; raises RuntimeError."""
+        opened = await self.packets.open(self.config.packet_address)
+        if opened.is_err():
+            raise RuntimeError(str(opened.unwrap_err()))
+
+    def apply(self, change: ControlChange) -> None:
+        """Take the agents of each service: `{"ip:port": ["ip:port", ...]}`."""
+        self.agents = {
+            split_address(service): [split_address(agent) for agent in agents]
+            for service, agents in change.items()
+        }
+
+    def receive(self, data: bytes, _sender: Address) -> None:
+        """Pass one packet on."""
+        packet = parse_packet(data)
+        if not isinstance(packet, Packet):
+            return
+        agent = self.choose(packet.pair)
+        if agent is not None:
+            self.packets.send(data, agent)
+
+    def choose(self, pair: SocketPair) -> Address | None:
+        """Return the agent of a flow; None where the service has none."""
+        service = (".".join(map(str, pair.service_address)), pair.service_port)
+        agents = self.agents.get(service)
+        if not agents:
+            return None
+        key = pair.flow_key()
+        known = self.table.get(key)
+        if known in agents:
+            self.table.move_to_end(key)
+            return known
+        chosen = max(
+            agents,
+            key=lambda agent: xxhash.xxh3_64_intdigest(key + str(agent).encode()),
+        )
+        self.remember(key, chosen)
+        return chosen
+
+    def remember(self, key: bytes, agent: Address) -> None:
+        """Keep where a flow goes, where the method does."""
+        if self.config.method == "table":
+            self.table[key] = agent
+            if len(self.table) > FLOWS_REMEMBERED:
+                self.table.popitem(last=False)
+
+
+class BaselineAgent:
+    """Runs each request it is sent, once for each message id it sees."""
+
+    config: BaselineAgentConfig
+    packets: DatagramSocket
+    backend: BackendServer
+    slots: asyncio.Semaphore
+    waiting: int
+    # Answers by caller and message id; None while the request runs.
+    answers: OrderedDict[bytes, bytes | None]
+    # Long answers by caller and path.
+    downloads: OrderedDict[bytes, Answer]
+    tasks: set[asyncio.Task[None]]
+
+    def __init__(self, config: BaselineAgentConfig) -> None:
+        self.config = config
+        self.packets = DatagramSocket(self.receive)
+        self.backend = BackendServer(config.backend_server)
+        self.slots = asyncio.Semaphore(config.slots)
+        self.waiting = 0
+        self.answers = OrderedDict()
+        self.downloads = OrderedDict()
+        self.tasks = set()
+
+    async def start(self) -> None:
+        """Bind the packet socket; raises RuntimeError."""
+        opened = await self.packets.open(self.config.packet_address)
+        if opened.is_err():
+            raise RuntimeError(str(opened.unwrap_err()))
+        self.backend.is_connected()
+
+    async def stop(self) -> None:
+        """Let running requests end."""
+        limit = time.monotonic() + STOP_TIMEOUT_S
+        while self.tasks and time.monotonic() < limit:
+            await asyncio.sleep(POLL_S)
+        await self.backend.close()
+
+    def apply(self, change: ControlChange) -> None:
+        """Take no change: an agent has nothing to be told."""
+        raise ValueError(f"no such change: {change}")
+
+    def receive(self, data: bytes, _sender: Address) -> None:
+        """Take one packet of a caller."""
+        packet = parse_packet(data)
+        if not isinstance(packet, Packet):
+            return
+        request = parse_message(packet.payload)
+        if not isinstance(request, Request):
+            return
+        caller = packet.pair.caller_key()
+        key = caller + request.message_id.to_bytes(2, "big")
+        if key in self.answers:
+            kept = self.answers[key]
+            if kept is not None:
+                self.send(packet.pair, kept)
+            return
+        self.answers[key] = None
+        if len(self.answers) > ANSWERS_KEPT:
+            self.answers.popitem(last=False)
+        task = asyncio.create_task(self.serve(packet.pair, request, key))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def serve(self, pair: SocketPair, request: Request, key: bytes) -> None:
+        """Find the answer to a request and send it."""
+        long = request.path[:1] and request.path[0] in self.config.long_paths
+        if long:
+            answer = await self.find_download(pair, request, key)
+        else:
+            answer = await self.run(request, key, long=False)
+        encoded = encode_answer(request, answer)
+        self.answers[key] = encoded
+        self.send(pair, encoded)
+
+    def send(self, pair: SocketPair, encoded: bytes) -> None:
+        """Send an answer to its caller by way of the fabric."""
+        packet = build_packet(pair, encoded, to_caller=True)
+        self.packets.send(packet, split_address(self.config.return_address))
+
+    async def find_download(
+        self, pair: SocketPair, request: Request, key: bytes
+    ) -> Answer:
+        """Return a long answer, the caller's own from before for later blocks."""
+        name = pair.caller_key() + request.target.encode()
+        if request.block_number:
+            missing = Answer(CODE_INCOMPLETE, b"start anew")
+            return self.downloads.get(name, missing)
+        answer = await self.run(request, key, long=True)
+        self.downloads[name] = answer
+        if len(self.downloads) > ANSWERS_KEPT:
+            self.downloads.popitem(last=False)
+        return answer
+
+    async def run(self, request: Request, key: bytes, *, long: bool) -> Answer:
+        """Run a request in a slot of the backend server."""
+        if self.waiting >= QUEUE_PER_SLOT * self.config.slots:
+            return make_not_run_answer(COME_BACK_S)
+        self.waiting += 1
+        try:
+            await asyncio.wait_for(self.slots.acquire(), QUEUE_TIME_S)
+        except TimeoutError:
+            return make_not_run_answer(COME_BACK_S)
+        finally:
+            self.waiting -= 1
+        try:
+            call = self.backend.fetch if long else self.backend.call
+            result = await call(request, key, RUN_TIMEOUT_S)
+        finally:
+            self.slots.release()
+        if isinstance(result, Ok):
+            return result.ok_value
+        return explain_failure(result.err_value.error)
+
+
+def explain_failure(error: BackendError) -> Answer:
+    """Return what a caller is told of a failed call."""
+    if error in (BackendError.SHED, BackendError.UNREACHABLE):
+        return make_not_run_answer(COME_BACK_S)
+    if error is BackendError.UNKNOWN:
+        return make_outcome_unknown_answer()
+    return make_failure_answer("backend server failed")
+
+
+async def run_balancer(text: str) -> None:
+    """Serve as a balancer until asked to stop."""
+    balancer = BaselineBalancer(BaselineBalancerConfig.model_validate_json(text))
+    await balancer.start()
+    await serve_control(balancer.apply)
+
+
+async def run_agent(text: str) -> None:
+    """Serve as an agent until asked to stop, then let running requests end."""
+    agent = BaselineAgent(BaselineAgentConfig.model_validate_json(text))
+    await agent.start()
+    await serve_control(agent.apply)
+    await agent.stop()
+
+
+def main() -> None:
+    """Run the role given as the first argument with the file given as the second."""
+    roles = {"balancer": run_balancer, "agent": run_agent}
+    text = Path(sys.argv[2]).read_text(encoding="utf-8")
+    asyncio.run(roles[sys.argv[1]](text))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/lentilfork/bench/callers.py
+++ b/src/lentilfork/bench/callers.py
@@ -1,13 +1,16 @@
-"""Callers as they are in the field: aiocoap clients, unmodified.
+"""Callers: how a request is sent until its outcome stands, and aiocoap's way.
 
-Each caller has a socket of its own and one request at a time. A caller that is
-told "not run" comes again with the same request, as a sign would; one that is told
-to fetch a long answer anew does so. Everything else ends the request.
+`Caller` is an unmodified aiocoap client, as in the field; `lean` has a cheaper one
+for load. Each caller has a socket of its own and one request at a time. A caller
+told "not run" comes again with the same request, as a sign would; one told to
+fetch a long answer anew does so. Everything else ends the request.
 """
 
 import asyncio
 import random
 import time
+from abc import ABC
+from abc import abstractmethod
 from collections.abc import Mapping
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -28,7 +31,7 @@
 from lentilfork.bench.workload import Template
 from lentilfork.bench.workload import make_request
 
-__all__ = ["Caller", "Target", "run_caller"]
+__all__ = ["BaseCaller", "Caller", "Target", "run_caller"]
 
 DEFAULT_REPEATS: Final = 5
 REPEATED_OUTCOMES: Final = frozenset({Outcome.NOT_RUN, Outcome.RESTART})
@@ -50,38 +53,28 @@
     long_bytes: int = LONG_CONTENT_BYTES
 
 
-class Caller:
-    """One caller with a socket of its own."""
+class BaseCaller(ABC):
+    """One caller; a subclass says how one sending of a request is done."""
 
     name: str
-    context: aiocoap.Context
     targets: Mapping[str, Target]
     # How often a request is sent anew before its outcome stands.
     repeats: int
 
     def __init__(
-        self,
-        name: str,
-        context: aiocoap.Context,
-        targets: Mapping[str, Target],
-        repeats: int = DEFAULT_REPEATS,
+        self, name: str, targets: Mapping[str, Target], repeats: int = DEFAULT_REPEATS
     ) -> None:
         self.name = name
-        self.context = context
         self.targets = targets
         self.repeats = repeats
 
-    @classmethod
-    async def open(
-        cls, name: str, targets: Mapping[str, Target], repeats: int = DEFAULT_REPEATS
-    ) -> "Caller":
-        """Return a caller with an open socket."""
-        context = await aiocoap.Context.create_client_context(transports=["udp6"])
-        return cls(name, context, targets, repeats)
+    @abstractmethod
+    async def exchange(self, request: Request, target: Target) -> Reply:
+        """Return the answer to one sending; raises aiocoap's errors."""
 
+    @abstractmethod
     async def close(self) -> None:
         """Close the socket."""
-        await self.context.shutdown()
 
     async def ask(self, request: Request) -> Record:
         """Send a request until its outcome stands."""
@@ -112,6 +105,34 @@
         told = f"{codes.Code(reply.code)} block {reply.block}: {reply.payload[:200]!r}"
         return outcome, told, float(reply.max_age_s)
 
+
+class Caller(BaseCaller):
+    """An unmodified aiocoap client."""
+
+    context: aiocoap.Context
+
+    def __init__(
+        self,
+        name: str,
+        context: aiocoap.Context,
+        targets: Mapping[str, Target],
+        repeats: int = DEFAULT_REPEATS,
+    ) -> None:
+        super().__init__(name, targets, repeats)
+        self.context = context
+
+    @classmethod
+    async def open(
+        cls, name: str, targets: Mapping[str, Target], repeats: int = DEFAULT_REPEATS
+    ) -> "Caller":
+        """Return a caller with an open socket."""
+        context = await aiocoap.Context.create_client_context(transports=["udp6"])
+        return cls(name, context, targets, repeats)
+
+    async def close(self) -> None:
+        """Close the socket."""
+        await self.context.shutdown()
+
     async def exchange(self, request: Request, target: Target) -> Reply:
         """Return the answer to one sending; raises aiocoap's errors."""
         query = "&".join(request.query)
@@ -136,7 +157,7 @@
 
 
 async def run_caller(
-    caller: Caller,
+    caller: BaseCaller,
     templates: Sequence[Template],
     records: list[Record],
     stopped: asyncio.Event,
--- a/src/lentilfork/bench/deployment.py
+++ b/src/lentilfork/bench/deployment.py
@@ -21,6 +21,8 @@
 from lentilfork.bench.journals import Run
 from lentilfork.bench.journals import read_journals
 from lentilfork.bench.operators import Operator
+from lentilfork.bench.plan import Endpoint
+from lentilfork.bench.plan import Host
 from lentilfork.bench.plan import Plan
 from lentilfork.bench.plan import Wiring
 from lentilfork.bench.processes import Process
@@ -167,7 +169,7 @@
     def start_balancer(self, place: str | None = None) -> str:
         """Start one more balancer; `update_fabric` has the fabric use it."""
         host = self.plan.add_balancer(place)
-        self.add_daemon(self.plan.make_balancer_settings(host)).start()
+        self.add_balancer_process(host).start()
         self.sprayed.add(host.name)
         return host.name
 
@@ -179,11 +181,19 @@
         server = self.group.add(
             config.name, "-m", "lentilfork.bench.backend_server", path
         )
-        agent = self.add_daemon(self.plan.make_agent_settings(endpoint))
+        agent = self.add_agent_process(endpoint)
         await server.start_ready()
         agent.start()
         return agent.name
 
+    def add_balancer_process(self, host: Host) -> Process:
+        """Return the process of a balancer, not started."""
+        return self.add_daemon(self.plan.make_balancer_settings(host))
+
+    def add_agent_process(self, endpoint: Endpoint) -> Process:
+        """Return the process of an agent, not started."""
+        return self.add_daemon(self.plan.make_agent_settings(endpoint))
+
     async def set_behaviour(self, endpoint: str, **change: Any) -> None:
         """Change how the backend server of an endpoint behaves."""
         server = self.plan.endpoints[endpoint].config.name
@@ -207,6 +217,12 @@
         fields.update(address=host, port=int(port))
         return await self.operator.apply_service(state_pb2.Service(**fields))
 
+    async def use_preset(self, name: str) -> int:
+        """Switch the preset and wait until it is in force; returns the generation."""
+        generation = await self.operator.use_preset(name)
+        await self.wait_ready(generation)
+        return generation
+
     async def wait_ready(
         self, generation: int = 0, timeout_s: float = READY_TIMEOUT_S
     ) -> admin_pb2.Status:
--- /dev/null
+++ b/src/lentilfork/bench/trace.py
@@ -0,0 +1,172 @@
+"""Traces: what callers asked and what went wrong, by time, as JSON lines.
+
+The first line describes the run; each further one is an arrival or a fault. An
+arrival carries its work in mean service times, so a replay takes the same time on
+the same server, wherever the request is placed.
+"""
+
+import json
+import random
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Mapping
+from collections.abc import Sequence
+from dataclasses import asdict
+from dataclasses import dataclass
+from dataclasses import field
+from pathlib import Path
+from typing import Any
+
+from lentilfork.bench.journals import Run
+from lentilfork.bench.outcomes import Record
+from lentilfork.bench.workload import Kind
+from lentilfork.bench.workload import Request
+from lentilfork.bench.workload import Template
+from lentilfork.bench.workload import make_request
+
+__all__ = ["Arrival", "Fault", "Trace", "draw_trace", "read_trace", "record_trace"]
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request sent for the first time."""
+
+    # Seconds since the run began.
+    at_s: float
+    request: Request
+    # Time it takes in its slot at speed 1, in mean service times.
+    work: float
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """Something done to the deployment while callers ask."""
+
+    at_s: float
+    # Name of a method of `FaultDriver`.
+    action: str
+    # Process, service or preset it is done to.
+    target: str
+
+
+@dataclass(slots=True)
+class Trace:
+    """One run: everything that comes from outside the system."""
+
+    deployment: str
+    seed: int
+    duration_s: float
+    arrivals: list[Arrival] = field(default_factory=list)
+    faults: list[Fault] = field(default_factory=list)
+
+    def write(self, path: Path) -> None:
+        """Write the trace as JSON lines."""
+        head = {
+            "deployment": self.deployment,
+            "seed": self.seed,
+            "duration_s": self.duration_s,
+        }
+        events: list[dict[str, Any]] = [
+            *({"event": "arrival", **encode_arrival(one)} for one in self.arrivals),
+            *({"event": "fault", **asdict(one)} for one in self.faults),
+        ]
+        events.sort(key=lambda event: float(event["at_s"]))
+        lines = [json.dumps(line) for line in (head, *events)]
+        path.write_text("\n".join(lines) + "\n", encoding="utf-8")
+
+
+def encode_arrival(arrival: Arrival) -> dict[str, Any]:
+    """Return an arrival as JSON values."""
+    fields = asdict(arrival)
+    fields["request"]["kind"] = arrival.request.kind.value
+    return fields
+
+
+def decode_request(fields: Mapping[str, Any]) -> Request:
+    """Return the request with these JSON values."""
+    kind, query = Kind(fields["kind"]), tuple(fields["query"])
+    return Request(**{**fields, "kind": kind, "query": query})
+
+
+def read_trace(path: Path) -> Trace:
+    """Read a trace; raises OSError, ValueError or KeyError."""
+    lines = path.read_text(encoding="utf-8").splitlines()
+    trace = Trace(**json.loads(lines[0]))
+    for line in lines[1:]:
+        fields = json.loads(line)
+        if fields.pop("event") == "fault":
+            trace.faults.append(Fault(**fields))
+        else:
+            request = decode_request(fields.pop("request"))
+            trace.arrivals.append(Arrival(request=request, **fields))
+    return trace
+
+
+def draw_trace(
+    deployment: str,
+    rates: Sequence[tuple[Template, float]],
+    duration_s: float,
+    seed: int,
+    faults: Iterable[Fault] = (),
+) -> Trace:
+    """Return arrivals at random times with the given mean rates per second."""
+    arrivals = [
+        arrival
+        for number, (template, rate) in enumerate(rates)
+        for arrival in draw_arrivals(template, rate, duration_s, f"{seed}/{number}")
+    ]
+    arrivals.sort(key=lambda arrival: arrival.at_s)
+    return Trace(deployment, seed, duration_s, arrivals, list(faults))
+
+
+def draw_arrivals(
+    template: Template, rate: float, duration_s: float, seed: str
+) -> Iterator[Arrival]:
+    """Yield the arrivals of one kind of request."""
+    choice = random.Random(seed)
+    at_s = choice.expovariate(rate)
+    serial = 0
+    while at_s < duration_s:
+        serial += 1
+        name = f"{seed.replace('/', '-')}-{serial}"
+        request = make_request(template, choice, name)
+        yield Arrival(round(at_s, 6), request, round(choice.expovariate(1.0), 4))
+        at_s += choice.expovariate(rate)
+
+
+def record_trace(
+    deployment: str,
+    seed: int,
+    records: Sequence[Record],
+    runs: Iterable[Run],
+    faults: Iterable[Fault],
+    mean_times_s: Mapping[str, float],
+    speeds: Mapping[str, float],
+) -> Trace:
+    """Return what a run took in, with service times from the journals.
+
+    `mean_times_s` is by service, `speeds` by backend server. A request that never
+    ran to its end gets the work of a mean request.
+    """
+    began = min((record.started for record in records), default=0.0)
+    ended = max((record.started for record in records), default=0.0)
+    times_s = {
+        (run.path, run.query): (run.ended - run.started) * speeds[run.server]
+        for run in runs
+        if run.ended is not None and run.query
+    }
+    arrivals = [
+        Arrival(
+            round(record.started - began, 6),
+            request,
+            round(
+                times_s.get((request.path, request.query), mean_s) / mean_s,
+                4,
+            ),
+        )
+        for record in records
+        for request in [record.request]
+        for mean_s in [mean_times_s[request.service]]
+    ]
+    arrivals.sort(key=lambda arrival: arrival.at_s)
+    return Trace(deployment, seed, ended - began, arrivals, list(faults))
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -126,8 +126,7 @@
 
     async def switch_preset(self, name: str) -> None:
         """Switch the preset and wait until it is in force everywhere."""
-        generation = await self.deployment.operator.use_preset(name)
-        await self.deployment.wait_ready(generation)
+        generation = await self.deployment.use_preset(name)
         self.say(f"preset {name} is in force everywhere, generation {generation}")
 
     async def show_progress(self) -> None:
