--- a/src/lentilfork/membership/feed.py
+++ b/src/lentilfork/membership/feed.py
@@ -1,7 +1,9 @@
 """The member's side: heartbeats to the controllers, the agreed state from them.
 
 One task keeps one stream to one controller and moves to another when it fails or
-does not reach the leader. The generation of this process never goes down, whoever
+does not reach the leader. Where acknowledgements come late, a second stream to
+another controller is kept as a standby, so that a lossy path does not cost the
+lease. The generation of this process never goes down, whoever
 offers a lower one. A process that starts takes its first generation only when the
 leader has confirmed it, so that a controller that was cut off cannot bring it
 behind what it had before; if no controller reaches a leader for
@@ -23,6 +25,7 @@
 from lentilfork.counters import Counters
 from lentilfork.logs import Logger
 from lentilfork.membership.clocks import read_clock_ms
+from lentilfork.membership.lease import LEASE_MS
 from lentilfork.membership.lease import OwnLease
 from lentilfork.schema import control_pb2
 from lentilfork.schema import control_pb2_grpc
@@ -37,8 +40,14 @@
 # A controller that has brought no acknowledgement for this long is left.
 PATIENCE_MS: Final = 1_000
 MAXIMUM_PATIENCE_MS: Final = 8_000
+# Without an acknowledgement for this long the standby is joined, and it is kept
+# for a while after the last time.
+LATE_MS: Final = 600
+STANDBY_MS: Final = 30_000
 # Longest pause before the next attempt; the pause is drawn at random below it.
-FIRST_BACKOFF_MS: Final = 100
+# While the lease may still be saved, attempts follow each other closely.
+FIRST_BACKOFF_MS: Final = 50
+LEASED_BACKOFF_MS: Final = 200
 MAXIMUM_BACKOFF_MS: Final = 2_000
 UNCONFIRMED_MS: Final = 5_000
 LEAVE_TIMEOUT_S: Final = 2.0
@@ -67,8 +76,10 @@
     acknowledged_generation: int
     # Generations that were in force here, oldest first.
     history: deque[int]
-    # The controller this process is joined to, "" for none.
-    controller: str
+    # The controllers this process is joined to, the standby last.
+    joined: list[str]
+    # When acknowledgements were last late.
+    late_ms: int
     listeners: list[Listener]
     ready: asyncio.Event
     # Set to send a heartbeat at once.
@@ -103,7 +114,8 @@
         self.lease = OwnLease(read_clock_ms())
         self.acknowledged_generation = 0
         self.history = deque([0], maxlen=KEPT_GENERATIONS)
-        self.controller = ""
+        self.joined = []
+        self.late_ms = read_clock_ms() - STANDBY_MS
         self.listeners = []
         self.ready = asyncio.Event()
         self.due = asyncio.Event()
@@ -123,6 +135,11 @@
         """
         return self.lease.holds(read_clock_ms(), self.state.generation)
 
+    @property
+    def controller(self) -> str:
+        """The controller this process is joined to, "" for none."""
+        return self.joined[0] if self.joined else ""
+
     def subscribe(self, listener: Listener) -> None:
         """Call `listener` with the old and the new state at each generation."""
         self.listeners.append(listener)
@@ -147,6 +164,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self.watch_clock())
             group.create_task(self.keep_joined())
+            group.create_task(self.keep_standby())
 
     async def watch_clock(self) -> None:
         """Notice stops of this process, and a first state nobody confirms."""
@@ -159,6 +177,8 @@
                     "lease is void after a stop", generation=self.received.generation
                 )
                 self.announce()
+            if now_ms - self.lease.acknowledged_ms > LATE_MS:
+                self.late_ms = now_ms
             if not self.ready.is_set() and now_ms - started_ms > UNCONFIRMED_MS:
                 self.take_into_force(self.received)
             await asyncio.sleep(HEARTBEAT_MS / MS_PER_S)
@@ -168,32 +188,50 @@
         while True:
             address = self.choose_controller()
             acknowledged_ms = self.lease.acknowledged_ms
-            reason = await self.join(address)
+            reason = await self.join(address, lambda: True)
             if self.lease.acknowledged_ms > acknowledged_ms:
                 self.failures = 0
             self.failures += 1
             self.counters.add("feed.stream_ended", reason)
             await asyncio.sleep(self.draw_backoff_s())
 
+    async def keep_standby(self) -> None:
+        """Join a second controller while acknowledgements come late."""
+        while True:
+            await asyncio.sleep(self.draw_backoff_s() + HEARTBEAT_MS / MS_PER_S)
+            others = sorted(self.list_controllers() - set(self.joined))
+            if self.is_late() and self.joined and others:
+                self.counters.add("feed.standby_joined")
+                await self.join(self.generator.choice(others), self.is_late)
+
+    def is_late(self) -> bool:
+        """Tell whether acknowledgements came late lately."""
+        return read_clock_ms() - self.late_ms < STANDBY_MS
+
+    def list_controllers(self) -> set[str]:
+        """Return the addresses of all controllers this process knows."""
+        agreed = (
+            controller.control_address
+            for controller in self.received.controllers.values()
+        )
+        return {*self.controllers, *agreed}
+
     def choose_controller(self) -> str:
         """Return the next controller; each is tried once a round, in random order."""
         if not self.candidates:
-            agreed = (
-                controller.control_address
-                for controller in self.received.controllers.values()
-            )
-            known = sorted({*self.controllers, *agreed})
+            known = sorted(self.list_controllers())
             self.candidates = self.generator.sample(known, len(known))
         return self.candidates.pop()
 
     def draw_backoff_s(self) -> float:
         """Return the pause before the next attempt."""
         doubled_ms = FIRST_BACKOFF_MS * 2 ** min(self.failures - 1, 8)
-        limit_ms = min(doubled_ms, MAXIMUM_BACKOFF_MS)
+        leased = read_clock_ms() - self.lease.acknowledged_ms < LEASE_MS
+        limit_ms = min(doubled_ms, LEASED_BACKOFF_MS if leased else MAXIMUM_BACKOFF_MS)
         return self.generator.uniform(0, limit_ms) / MS_PER_S
 
-    async def join(self, address: str) -> str:
-        """Keep one stream until it fails; return why it ended."""
+    async def join(self, address: str, wanted: Callable[[], bool]) -> str:
+        """Keep one stream until it fails or is not wanted; return why it ended."""
         stub = control_pb2_grpc.ControlStub(self.channels.get(address))
         call = stub.Join(self.make_heartbeats())
         patience_ms = min(PATIENCE_MS * 2 ** min(self.failures, 8), MAXIMUM_PATIENCE_MS)
@@ -205,19 +243,22 @@
                 heard_ms = max(self.lease.acknowledged_ms, opened_ms)
                 if read_clock_ms() - heard_ms > patience_ms:
                     return "no acknowledgement"
+                if not wanted():
+                    return "not wanted"
         except TimeoutError:
             return "silence"
         except grpc.aio.AioRpcError as error:
             return error.code().name.lower()
         finally:
-            self.controller = ""
+            if address in self.joined:
+                self.joined.remove(address)
             call.cancel()
         return "closed"
 
     def join_succeeded(self, address: str) -> None:
         """Note the controller that answers."""
-        if self.controller != address:
-            self.controller = address
+        if address not in self.joined:
+            self.joined.append(address)
             log.info("joined controller", controller=address)
 
     async def make_heartbeats(self) -> AsyncIterator[control_pb2.Heartbeat]:
@@ -341,8 +382,8 @@
             "generation": self.state.generation,
             "received_generation": self.received.generation,
             "generations": list(self.history),
-            "controller": self.controller,
-            "controllers": list(self.controllers),
+            "joined": self.joined,
+            "controllers": sorted(self.list_controllers()),
             "lease_holds": self.lease_holds,
             "leases_voided": self.lease.voided,
             "unacknowledged_ms": read_clock_ms() - self.lease.acknowledged_ms,
