Name file and key when a start fails late

A data folder in use by another process is found before anything starts; what only the start itself finds, such as a damaged record, now names settings file and key as well.

--- a/src/lentilfork/daemon.py
+++ b/src/lentilfork/daemon.py
@@ -16,6 +16,7 @@
 from contextlib import asynccontextmanager
 from functools import singledispatch
 from pathlib import Path
+from typing import Any
 from typing import Final
 
 from result import Err
@@ -134,15 +135,37 @@
             await server.close()
 
 
-async def run_role(settings: CommonSettings) -> ExitCode:
-    """Run the role of these settings until a signal; returns the exit code."""
+def find_key(values: dict[str, Any], peer: str) -> str | None:
+    """Return the settings key with the value that a failure names as its peer."""
+    for key, value in values.items():
+        if isinstance(value, dict):
+            inner = find_key(value, peer)
+            if inner is not None:
+                return f"{key}.{inner}"
+        elif isinstance(value, str) and (value == peer or f"{value}/" in peer):
+            return key
+    return None
+
+
+def explain_start(settings: CommonSettings, path: Path, failure: Failure) -> Failure:
+    """Return the failure of a start with the settings file and the key it is about."""
+    key = find_key(settings.model_dump(mode="json"), failure.peer)
+    about = f"key {key}: " if key else ""
+    return Failure("start", str(path), f"{about}{failure}", ExitCode.USAGE)
+
+
+async def run_role(settings: CommonSettings, path: Path) -> ExitCode:
+    """Run the role of these settings until a signal; returns the exit code.
+
+    `path` is the settings file, for messages.
+    """
     signals = StopSignals()
     signals.install()
     role = make_role(settings)
     async with serve_metrics(settings, role) as served:
         started = served if served.is_err() else await role.start()
         if isinstance(started, Err):
-            report(started.err_value)
+            report(explain_start(settings, path, started.err_value))
             return ExitCode.USAGE
         LOG.info("started", address=settings.control_address)
         try:
@@ -194,7 +217,7 @@
         print(f"{options.settings}: settings for {settings.role} are correct")
         return ExitCode.OK
     configure_logs(settings.log, settings.name)
-    return asyncio.run(run_role(settings))
+    return asyncio.run(run_role(settings, options.settings))
 
 
 if __name__ == "__main__":
--- a/src/lentilfork/preflight.py
+++ b/src/lentilfork/preflight.py
@@ -6,11 +6,13 @@
 """
 
 import errno
+import fcntl
 import os
 import socket
 import tempfile
 from collections.abc import Iterator
 from contextlib import ExitStack
+from contextlib import suppress
 from dataclasses import dataclass
 from functools import singledispatch
 from pathlib import Path
@@ -121,6 +123,20 @@
         )
 
 
+def find_lock_problems(key: str, folder: Path) -> Iterator[str]:
+    """Yield whether another process has the data folder open."""
+    from lentilfork.agreement.files import LOCK_NAME
+
+    with suppress(FileNotFoundError), (folder / LOCK_NAME).open("r+") as lock:
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            yield (
+                f"key {key}: {folder} is in use by another process; expected a "
+                "folder for this process alone"
+            )
+
+
 def find_tls_problems(tls: TlsSettings) -> Iterator[str]:
     """Yield what is wrong with the certificate files."""
     from lentilfork.certificates import load_certificates
@@ -144,7 +160,9 @@
 @find_problems.register
 def find_controller_problems(settings: ControllerSettings) -> Iterator[str]:
     """Yield what this host lacks for a controller."""
-    yield from find_folder_problems("data_folder", settings.data_folder)
+    key, folder = "data_folder", settings.data_folder
+    problems = list(find_folder_problems(key, folder))
+    yield from problems or find_lock_problems(key, folder)
     yield from find_problems.dispatch(CommonSettings)(settings)
 
 
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -216,6 +216,24 @@
     assert finished.stdout == ""
 
 
+def test_data_folder_in_use_is_named_with_its_key(deployment: Deployment) -> None:
+    document = deployment.make("controller")
+    with deployment.start(document):
+        path = deployment.write({**document, "control_address": deployment.absent})
+        finished = deployment.run("--settings", str(path))
+    expected = f"key data_folder: {document['data_folder']} is in use by another"
+    check_refusal(finished, path, expected)
+
+
+def test_damaged_data_folder_is_named_with_its_key(deployment: Deployment) -> None:
+    folder = deployment.folder / "data"
+    folder.mkdir()
+    (folder / "vote").write_bytes(b"no vote at all")
+    path = deployment.write(deployment.make("controller"))
+    finished = deployment.run("--settings", str(path))
+    check_refusal(finished, path, f"key data_folder: read records ({folder}/vote): ")
+
+
 @pytest.mark.parametrize("role", ["balancer", "agent", "controller"])
 def test_check_of_correct_settings_starts_and_changes_nothing(
     deployment: Deployment, role: str
