--- a/src/lentilfork/cli/definitions.py
+++ b/src/lentilfork/cli/definitions.py
@@ -40,7 +40,11 @@
     return text
 
 
-IpAddress = Annotated[str, AfterValidator(check_ip_address)]
+IpAddress = Annotated[
+    str,
+    AfterValidator(check_ip_address),
+    Field(json_schema_extra={"format": "ipv4", "examples": ["10.8.0.1"]}),
+]
 PathSegment = Annotated[str, Field(pattern=r"^[^/]+$", max_length=255)]
 Milliseconds = Annotated[int, Field(ge=0, le=MAXIMUM_TIME_MS)]
 Percent = Annotated[int, Field(ge=0, le=FULL_PERCENT)]
--- a/src/lentilfork/settings.py
+++ b/src/lentilfork/settings.py
@@ -56,7 +56,8 @@
 def check_socket_address(text: str) -> str:
     """Return `text` if it is an IPv4 address and a port, else raises ValueError."""
     host, separator, port = text.rpartition(":")
-    if not separator or not port.isdigit() or not 0 < int(port) <= MAXIMUM_PORT:
+    digits = separator and port.isascii() and port.isdigit()
+    if not digits or not 0 < int(port) <= MAXIMUM_PORT:
         raise ValueError("expected IPv4:PORT, such as 127.0.0.1:7000")
     try:
         ipaddress.IPv4Address(host)
@@ -65,7 +66,17 @@
     return text
 
 
-SocketAddress = Annotated[str, AfterValidator(check_socket_address)]
+SocketAddress = Annotated[
+    str,
+    AfterValidator(check_socket_address),
+    # For editors; the validator above is stricter.
+    Field(
+        json_schema_extra={
+            "pattern": r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$",
+            "examples": ["10.0.0.1:7000"],
+        }
+    ),
+]
 ProcessName = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 
 
@@ -155,6 +166,15 @@
     address: SocketAddress
 
 
+def check_different(peers: tuple[ControllerPeer, ...]) -> tuple[ControllerPeer, ...]:
+    """Return `peers` if all names and addresses differ, else raises ValueError."""
+    names = {peer.name for peer in peers}
+    addresses = {peer.address for peer in peers}
+    if min(len(names), len(addresses)) < len(peers):
+        raise ValueError("expected a name and an address of its own for each")
+    return peers
+
+
 class ControllerSettings(CommonSettings):
     """A process on a host with a disk: keeps the agreed state."""
 
@@ -162,7 +182,9 @@
     data_folder: Path
     # The voters the state begins with, this process among them. A process that
     # is to join a running system lists the running controllers only.
-    controllers: Annotated[tuple[ControllerPeer, ...], Field(min_length=1)]
+    controllers: Annotated[
+        tuple[ControllerPeer, ...], Field(min_length=1), AfterValidator(check_different)
+    ]
     # How many of a service's agents may be taken out at once for silence; the
     # default is as many as one data centre has. The last ones never are.
     silence_limit_percent: Annotated[int, Field(ge=1, le=100)] | None = None
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -16,14 +16,55 @@
     "packet_address": "127.0.0.1:6001",
 }
 
-REFUSED: dict[str, tuple[dict[str, object], str]] = {
-    "unknown key": ({"speed": 3}, "key speed: unknown; expected no such key"),
-    "wrong type": ({"controllers": 7}, "key controllers:"),
-    "not an address": (
-        {"packet_address": "localhost"},
+CONTROLLER = {
+    "role": "controller",
+    "name": "control-1",
+    "data_centre": "kandy-a",
+    "control_address": "127.0.0.1:7000",
+    "controllers": [{"name": "control-1", "address": "127.0.0.1:7000"}],
+    "data_folder": "/var/lib/lentilfork",
+}
+
+# Correct settings, what is changed in them, and how the refusal begins.
+REFUSED: dict[str, tuple[dict[str, object], dict[str, object], str]] = {
+    "unknown key": (BALANCER, {"speed": 3}, "key speed: unknown; expected no such key"),
+    "unknown key inside": (
+        BALANCER,
+        {"log": {"colour": "red"}},
+        "key log.colour: unknown; expected no such key",
+    ),
+    "number as text": (
+        CONTROLLER,
+        {"silence_limit_percent": "50"},
+        "key silence_limit_percent: Input should be a valid integer",
+    ),
+    "no list": (BALANCER, {"controllers": 7}, "key controllers:"),
+    "empty list": (BALANCER, {"controllers": []}, "key controllers:"),
+    "host name": (
+        BALANCER,
+        {"packet_address": "localhost:7000"},
         "key packet_address: expected IPv4:PORT, such as 127.0.0.1:7000",
     ),
-    "unknown role": ({"role": "cook"}, "key role:"),
+    "port out of range": (
+        BALANCER,
+        {"packet_address": "127.0.0.1:65536"},
+        "key packet_address: expected IPv4:PORT",
+    ),
+    "unknown role": (
+        BALANCER,
+        {"role": "cook"},
+        "key role: expected one of agent, balancer, controller",
+    ),
+    "upper case name": (BALANCER, {"name": "Entry"}, "key name: String should match"),
+    "one name for two controllers": (
+        CONTROLLER,
+        {
+            "controllers": [
+                {"name": "one", "address": f"127.0.0.1:{port}"} for port in (1, 2)
+            ]
+        },
+        "key controllers: expected a name and an address of its own for each",
+    ),
 }
 
 
@@ -41,8 +82,15 @@
 
 @pytest.mark.parametrize("case", REFUSED)
 def test_refusal_names_file_key_and_expectation(tmp_path: Path, case: str) -> None:
-    change, expected = REFUSED[case]
-    path = write_settings(tmp_path, {**BALANCER, **change})
+    document, change, expected = REFUSED[case]
+    path = write_settings(tmp_path, {**document, **change})
     failure = load_settings(path).unwrap_err()
     assert failure.peer == str(path)
     assert failure.message.startswith(expected)
+
+
+@pytest.mark.parametrize("key", ["name", "data_folder", "controllers"])
+def test_missing_key_is_named(tmp_path: Path, key: str) -> None:
+    document = {name: value for name, value in CONTROLLER.items() if name != key}
+    failure = load_settings(write_settings(tmp_path, document)).unwrap_err()
+    assert failure.message == f"key {key}: missing; expected a value"
