--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,7 +7,7 @@
 
 from lentilfork.settings import load_settings
 
-BALANCER = {
+BALANCER: dict[str, object] = {
     "role": "balancer",
     "name": "entry-1",
     "data_centre": "kandy-a",
@@ -16,7 +16,7 @@
     "packet_address": "127.0.0.1:6001",
 }
 
-CONTROLLER = {
+CONTROLLER: dict[str, object] = {
     "role": "controller",
     "name": "control-1",
     "data_centre": "kandy-a",
