--- a/src/lentilfork/claims/__init__.py
+++ b/src/lentilfork/claims/__init__.py
@@ -15,12 +15,16 @@
 from lentilfork.claims.outcomes import WaitOutcome
 from lentilfork.claims.peers import GrpcPeers
 from lentilfork.claims.peers import Peers
+from lentilfork.claims.plan import CLAIM_VOTERS
+from lentilfork.claims.plan import plan_shards
+from lentilfork.claims.plan import track_lost
 from lentilfork.claims.records import MAXIMUM_ANSWER_BYTES
 from lentilfork.claims.runner import ClaimClient
 from lentilfork.claims.voter import ClaimVoter
 
 __all__ = [
     "CLAIM_SHARDS_PER_SERVICE",
+    "CLAIM_VOTERS",
     "MAXIMUM_ANSWER_BYTES",
     "AlreadyDone",
     "ClaimClient",
@@ -36,6 +40,8 @@
     "Released",
     "WaitOutcome",
     "exchange_key",
+    "plan_shards",
     "request_key",
     "shard_for",
+    "track_lost",
 ]
--- a/src/lentilfork/claims/rounds.py
+++ b/src/lentilfork/claims/rounds.py
@@ -58,12 +58,13 @@
             for holder in reply.record.holders
         )
 
-    def list_runners(self) -> tuple[Voter, ...]:
-        """Return the runners of all holders, sorted."""
+    def list_runners(self, but: bytes) -> tuple[Voter, ...]:
+        """Return the runners of all holders other than attempt `but`, sorted."""
         runners = {
             Voter(holder.runner, holder.runner_incarnation)
             for reply in self.replies.values()
             for holder in reply.record.holders
+            if holder.id != but
         }
         return tuple(sorted(runners))
 
@@ -80,7 +81,7 @@
     others = votes.count_holders()
     del others[grant.attempt.id]
     if any(count >= votes.majority for count in others.values()):
-        return HeldElsewhere(votes.list_runners())
+        return HeldElsewhere(votes.list_runners(but=grant.attempt.id))
     return None
 
 
@@ -91,7 +92,7 @@
     its own attempt.
     """
     if any(holder < grant.attempt.id for holder in votes.count_holders()):
-        return HeldElsewhere(votes.list_runners())
+        return HeldElsewhere(votes.list_runners(but=grant.attempt.id))
     return None
 
 
