--- a/src/lentilfork/borders/operators.py
+++ b/src/lentilfork/borders/operators.py
@@ -28,7 +28,7 @@
 
 __all__ = ["OperatorService"]
 
-STATUS_TIMEOUT_S: Final = 1.0
+STATUS_TIMEOUT_S: Final = 0.5
 WATCH_INTERVAL_S: Final = 0.2
 MAXIMUM_WATCHERS: Final = 64
 MAXIMUM_SUBMITS: Final = 256
