Prove agreement through crashes, cuts and lost disks

Cause of the change in the code: asyncio.wait_for of Python 3.11 drops a cancellation that meets the end of the wait, so a stopped replica could hang; it is replaced by asyncio.timeout. A call whose caller left no longer logs its error as never retrieved.

--- a/src/lentilfork/agreement/core.py
+++ b/src/lentilfork/agreement/core.py
@@ -76,6 +76,8 @@
     applied_index: int
     # Loop time at which a leader of this term was last heard.
     leader_heard_s: float
+    # Set when the replica is started.
+    loop: asyncio.AbstractEventLoop
     # Serialises changes of term and what leaders hand over.
     lock: asyncio.Lock
     # Called with the states before and after each applied generation.
@@ -140,7 +142,7 @@
 
     def get_time_s(self) -> float:
         """Return the monotonic time of the event loop."""
-        return asyncio.get_running_loop().time()
+        return self.loop.time()
 
     def change_role(self, role: Role) -> None:
         """Take a role; listeners hear of it if it is another one."""
--- a/src/lentilfork/agreement/election.py
+++ b/src/lentilfork/agreement/election.py
@@ -65,7 +65,8 @@
             if remaining_s <= 0:
                 return
             try:
-                await asyncio.wait_for(self.hurry.wait(), remaining_s)
+                async with asyncio.timeout(remaining_s):
+                    await self.hurry.wait()
             except TimeoutError:
                 continue
 
--- a/src/lentilfork/agreement/leadership.py
+++ b/src/lentilfork/agreement/leadership.py
@@ -280,7 +280,8 @@
             await asyncio.sleep(0)
             return
         try:
-            await asyncio.wait_for(peer.wake.wait(), HEARTBEAT_INTERVAL_S)
+            async with asyncio.timeout(HEARTBEAT_INTERVAL_S):
+                await peer.wake.wait()
         except TimeoutError:
             return
 
--- a/src/lentilfork/agreement/proposals.py
+++ b/src/lentilfork/agreement/proposals.py
@@ -186,7 +186,8 @@
         index = leadership.append(change)
         self.pending[index] = Pending(leadership.term, answer)
         try:
-            result = await asyncio.wait_for(answer, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                result = await answer
         except TimeoutError:
             result = None
         finally:
--- a/src/lentilfork/agreement/replica.py
+++ b/src/lentilfork/agreement/replica.py
@@ -144,6 +144,7 @@
     async def start(self) -> Result[None, Failure]:
         """Open the data folder and start the tasks; a failure leaves none open."""
         core = self.core
+        core.loop = asyncio.get_running_loop()
         opened = await core.storage.open()
         loaded = opened.and_then(self.load)
         if isinstance(loaded, Err):
--- a/src/lentilfork/agreement/servicer.py
+++ b/src/lentilfork/agreement/servicer.py
@@ -45,13 +45,19 @@
             await context.abort(grpc.StatusCode.UNAVAILABLE, "not running")
         task = asyncio.create_task(call)
         self.running.add(task)
-        task.add_done_callback(self.running.discard)
+        task.add_done_callback(self.forget)
         try:
             return await asyncio.shield(task)
         except StorageError as error:
             await context.abort(grpc.StatusCode.UNAVAILABLE, str(error))
             raise
 
+    def forget(self, task: asyncio.Task[Any]) -> None:
+        """Drop a call that ended; its error was for a caller that may be gone."""
+        self.running.discard(task)
+        if not task.cancelled():
+            task.exception()
+
     async def stop(self) -> None:
         """End the calls under way."""
         tasks = list(self.running)
--- /dev/null
+++ b/tests/agreement/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the agreement between controllers."""
--- /dev/null
+++ b/tests/agreement/cluster.py
@@ -0,0 +1,219 @@
+"""A cluster of replicas on stand-ins, and the plain model it is checked against.
+
+The model knows three rules: what stands at one index is the same everywhere; a
+change that was accepted stays, once, at its generation; one that was refused for
+good never appears.
+"""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+
+from result import Ok
+from result import Result
+
+from lentilfork.agreement import ProposeFailure
+from lentilfork.agreement import Replica
+from lentilfork.channels import Channels
+from lentilfork.counters import Counters
+from lentilfork.schema import agreement_pb2
+from lentilfork.schema import state_pb2
+from lentilfork.settings import ControllerPeer
+from lentilfork.settings import ControllerSettings
+from lentilfork.state import encode_replicated
+from tests.agreement.fakes import Disk
+from tests.agreement.fakes import FakeFiles
+from tests.agreement.fakes import FakeTransport
+from tests.agreement.fakes import Network
+from tests.agreement.fakes import VirtualLoop
+
+Answer = Result[state_pb2.ChangeResult, ProposeFailure]
+
+
+class Cluster:
+    """Controllers c0, c1, ... with a disk each."""
+
+    def __init__(self, size: int, seed: int) -> None:
+        self.loop = VirtualLoop()
+        self.random = Random(seed)
+        self.network = Network(self.random)
+        self.peers = tuple(
+            ControllerPeer(name=f"c{index}", address=f"10.0.0.{index + 1}:7000")
+            for index in range(size)
+        )
+        self.addresses = {peer.name: peer.address for peer in self.peers}
+        self.disks = {peer.name: Disk(self.random) for peer in self.peers}
+        self.files: dict[str, FakeFiles] = {}
+        self.replicas: dict[str, Replica] = {}
+        # The plain model: what stands at each index, and answers by change id.
+        self.entries: dict[int, bytes] = {}
+        self.accepted: dict[str, int] = {}
+        self.attempts: Counter[str] = Counter()
+        self.refusals: Counter[str] = Counter()
+        self.proposals: set[asyncio.Task[None]] = set()
+
+    def run(self, seconds: float) -> None:
+        """Let the cluster run."""
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    def run_until(self, condition: Callable[[], bool], limit_s: float = 30) -> float:
+        """Run until a condition holds; returns the seconds it took."""
+        started_s = self.loop.time()
+        while not condition():
+            waited_s = self.loop.time() - started_s
+            assert waited_s < limit_s, f"not within {limit_s} s: {self.describe()}"
+            self.run(0.02)
+        return self.loop.time() - started_s
+
+    def describe(self) -> list[dict[str, object]]:
+        """Return the dumps of all replicas."""
+        return [replica.dump() for replica in self.replicas.values()]
+
+    def start(self, name: str) -> None:
+        """Start a controller on its disk; it stays down if the disk fails."""
+        settings = ControllerSettings(
+            role="controller",
+            name=name,
+            data_centre="kandy-a",
+            control_address=self.addresses[name],
+            data_folder=Path("/nowhere"),
+            controllers=self.peers,
+        )
+        files = FakeFiles(self.disks[name])
+        replica = Replica(
+            settings,
+            Channels(),
+            Counters(),
+            Random(self.random.random()),
+            transport=FakeTransport(self.network, self.addresses[name]),
+            files=files,
+        )
+        replica.subscribe_applied(self.check_entry)
+        replica.subscribe(lambda old, new: check_growth(old.generation, new.generation))
+        result = self.loop.run_until_complete(replica.start())
+        if self.disks[name].error and result.is_err():
+            return
+        assert result == Ok(None), result
+        self.files[name] = files
+        self.replicas[name] = replica
+        self.network.replicas[self.addresses[name]] = replica
+
+    def start_all(self) -> None:
+        """Start every controller that is down."""
+        for name in self.addresses:
+            if name not in self.replicas:
+                self.start(name)
+
+    def crash(self, name: str) -> None:
+        """Kill a controller: what it had not synced is lost."""
+        replica = self.replicas.pop(name)
+        del self.network.replicas[self.addresses[name]]
+        self.files[name].crash()
+        self.loop.run_until_complete(replica.stop())
+
+    def check_entry(
+        self, entry: agreement_pb2.LogEntry, _result: state_pb2.ChangeResult | None
+    ) -> None:
+        """Check that no two replicas apply different entries at one index."""
+        content = entry.SerializeToString(deterministic=True)
+        first = self.entries.setdefault(entry.index, content)
+        assert first == content, f"two entries were applied at index {entry.index}"
+
+    def get_leaders(self) -> list[str]:
+        """Return the names of all that lead, as far as they know."""
+        return [name for name, replica in self.replicas.items() if replica.is_leader]
+
+    def get_leader(self) -> Replica:
+        """Wait for a leader and return it."""
+        self.run_until(lambda: len(self.get_leaders()) == 1)
+        return self.replicas[self.get_leaders()[0]]
+
+    def propose(self, name: str, change: state_pb2.Change) -> "asyncio.Task[None]":
+        """Propose a change at one controller; the model notes its answer."""
+        self.attempts[change.change_id] += 1
+        task = self.loop.create_task(self.follow(self.replicas[name], change))
+        self.proposals.add(task)
+        task.add_done_callback(self.proposals.discard)
+        return task
+
+    async def follow(self, replica: Replica, change: state_pb2.Change) -> None:
+        """Note the answer to a change."""
+        self.note(change.change_id, await replica.propose(change))
+
+    def note(self, change_id: str, answer: Answer) -> None:
+        """Check an answer against earlier ones and keep it."""
+        if not isinstance(answer, Ok):
+            self.refusals[change_id] += not answer.err_value.unknown
+            return
+        if answer.ok_value.outcome != state_pb2.ACCEPTED:
+            return
+        generation = answer.ok_value.generation
+        assert self.accepted.setdefault(change_id, generation) == generation
+
+    def settle(self) -> None:
+        """Repair everything and check the model against all controllers."""
+        self.network.heal()
+        for disk in self.disks.values():
+            disk.error = 0
+        self.start_all()
+        self.run_until(lambda: not self.proposals)
+        self.get_leader()
+        self.run_until(self.is_settled, 60)
+        self.check_model()
+
+    def is_settled(self) -> bool:
+        """Tell whether all controllers vote and hold the same."""
+        replicas = list(self.replicas.values())
+        return (
+            len(replicas) == len(self.peers)
+            and all(replica.core.is_voter for replica in replicas)
+            and len({replica.core.applied_index for replica in replicas}) == 1
+            and len({replica.core.commit_index for replica in replicas}) == 1
+            and len(self.get_leaders()) == 1
+        )
+
+    def check_model(self) -> None:
+        """Check what every controller holds against the answers given."""
+        contents = {
+            encode_replicated(replica.state).SerializeToString(deterministic=True)
+            for replica in self.replicas.values()
+        }
+        assert len(contents) == 1, "controllers hold different states"
+        history = self.get_leader().state.history
+        generations = [entry.generation for entry in history]
+        found = {entry.change_id: entry.generation for entry in history}
+        assert generations == sorted(set(generations))
+        assert len(found) == len(history), "a change was applied twice"
+        assert self.accepted.items() <= found.items(), "an accepted change is gone"
+        refused = {key for key in found if self.attempts[key] == self.refusals[key]}
+        assert not refused, "a refused change was applied"
+
+    def close(self) -> None:
+        """End everything."""
+        for name in list(self.replicas):
+            self.crash(name)
+        for task in list(self.proposals):
+            task.cancel()
+        self.run(0.1)
+        self.loop.close()
+
+
+def check_growth(old: int, new: int) -> None:
+    """Check that a generation grew."""
+    assert new > old, f"generation went from {old} to {new}"
+
+
+def make_change(number: int, operator: str = "ana") -> state_pb2.Change:
+    """Return a change that applies one of a few services."""
+    return state_pb2.Change(
+        change_id=f"change-{number}",
+        operator=operator,
+        apply_service=state_pb2.Service(
+            name=f"service-{number % 5}",
+            address=f"10.9.0.{number % 5 + 1}",
+            port=5683,
+            deadline_ms=1 + number,
+        ),
+    )
--- /dev/null
+++ b/tests/agreement/fakes.py
@@ -0,0 +1,302 @@
+"""Stand-ins for what surrounds a replica: clock, disk and network.
+
+`VirtualLoop` is an event loop whose time jumps to the next timer, so hours of
+agreement run in seconds, and a seed gives the same run each time.
+"""
+
+import asyncio
+import errno
+import selectors
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
+from random import Random
+from typing import Any
+from typing import NoReturn
+from typing import TypeVar
+
+from google.protobuf.message import Message
+
+from lentilfork.agreement import Replica
+from lentilfork.agreement import TransportError
+from lentilfork.agreement.files import FileMark
+from lentilfork.schema import agreement_pb2
+from lentilfork.schema import state_pb2
+
+T = TypeVar("T")
+
+
+class JumpingSelector(selectors.DefaultSelector):
+    """A selector that never waits: it moves the clock on instead."""
+
+    now_s = 1_000.0
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        """Move the clock on by `timeout`; fails when nothing will ever happen."""
+        if timeout is None:
+            raise RuntimeError("deadlock: no timer is set")
+        self.now_s += max(timeout, 0)
+        return []
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop with a clock of its own."""
+
+    def __init__(self) -> None:
+        self.clock = JumpingSelector()
+        super().__init__(self.clock)
+        self._clock_resolution = 1e-6
+
+    def time(self) -> float:
+        """Return the virtual time in seconds."""
+        return float(self.clock.now_s)
+
+
+class Disk:
+    """The durable content of one data folder; outlives the process that uses it."""
+
+    def __init__(self, random: Random) -> None:
+        self.random = random
+        self.content: dict[str, bytes] = {}
+        self.marks: dict[str, FileMark] = {}
+        self.next_mark = 1
+        # Writes fail with this error number; 0: they succeed.
+        self.error = 0
+        self.sync_s = 0.002
+
+    def put(self, name: str, data: bytes) -> None:
+        """Put a new file in place."""
+        self.content[name] = data
+        self.marks[name] = (self.next_mark, self.next_mark)
+        self.next_mark += 1
+
+    def copy(self) -> dict[str, bytes]:
+        """Return a copy of all files, as a backup would hold it."""
+        return dict(self.content)
+
+    def restore(self, content: dict[str, bytes]) -> None:
+        """Put the files of a backup in place of all others."""
+        self.content.clear()
+        for name, data in content.items():
+            self.put(name, data)
+
+
+class FakeFiles:
+    """The files of a `Disk` as one process uses them."""
+
+    def __init__(self, disk: Disk) -> None:
+        self.location = "disk"
+        self.disk = disk
+        self.dead = False
+        self.writing: tuple[str, bytes, bool] | None = None
+
+    def open(self) -> None:
+        """Do nothing: one process at a time uses the disk."""
+
+    def close(self) -> None:
+        """Refuse everything from now on."""
+        self.dead = True
+
+    def crash(self) -> None:
+        """Lose what was not synced: a write under way is left in part, or not."""
+        self.dead = True
+        if self.writing is None:
+            return
+        name, data, replacing = self.writing
+        if not replacing:
+            kept = self.disk.random.randint(0, len(data))
+            self.disk.content[name] = self.disk.content.get(name, b"") + data[:kept]
+        elif self.disk.random.random() < 0.5:
+            self.disk.put(name, data)
+
+    def list_names(self) -> list[str]:
+        """Return the names of all files."""
+        return sorted(self.disk.content)
+
+    def read(self, name: str) -> bytes:
+        """Return the content of a file."""
+        return self.disk.content[name]
+
+    def get_mark(self, name: str) -> FileMark:
+        """Return what tells a file from a copy."""
+        return self.disk.marks[name]
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file."""
+        self.disk.content[name] = self.disk.content[name][:size]
+
+    def remove(self, name: str) -> None:
+        """Remove a file."""
+        if not self.dead:
+            self.disk.content.pop(name, None)
+
+    async def append(self, name: str, data: bytes) -> None:
+        """Append after a while; a failing disk keeps a part of it."""
+        await self.write(name, data, replacing=False)
+        self.disk.content[name] = self.disk.content.get(name, b"") + data
+
+    async def replace(self, name: str, data: bytes) -> None:
+        """Put a file in place after a while."""
+        await self.write(name, data, replacing=True)
+        self.disk.put(name, data)
+
+    async def write(self, name: str, data: bytes, replacing: bool) -> None:
+        """Wait as long as a sync takes; raises OSError on a failing disk."""
+        if self.dead:
+            raise OSError(errno.EIO, "the process is gone")
+        self.writing = (name, data, replacing)
+        await asyncio.sleep(self.disk.sync_s * self.disk.random.uniform(0.5, 5))
+        if self.dead:
+            raise OSError(errno.EIO, "the process is gone")
+        self.writing = None
+        if self.disk.error:
+            half = b"" if replacing else data[: len(data) // 2]
+            if half:
+                self.disk.content[name] = self.disk.content.get(name, b"") + half
+            raise OSError(self.disk.error, "write failed")
+
+
+class FakeContext:
+    """What a servicer needs of a gRPC context."""
+
+    def __init__(self, timeout_s: float) -> None:
+        self.timeout_s = timeout_s
+
+    def time_remaining(self) -> float:
+        """Return the time the caller waits."""
+        return self.timeout_s
+
+    async def abort(self, code: object, details: str) -> NoReturn:
+        """End the call with an error."""
+        raise TransportError(f"{code}: {details}")
+
+
+class Network:
+    """Replicas by address, with cuts and losses between them."""
+
+    def __init__(self, random: Random) -> None:
+        self.random = random
+        self.replicas: dict[str, Replica] = {}
+        # Ordered pairs of addresses between which nothing passes.
+        self.cuts: set[tuple[str, str]] = set()
+        self.loss = 0.0
+
+    def cut(self, address: str) -> None:
+        """Cut one replica off from all others, silently."""
+        for other in list(self.replicas):
+            self.cuts |= {(address, other), (other, address)}
+
+    def heal(self) -> None:
+        """Let everything pass again."""
+        self.cuts.clear()
+        self.loss = 0.0
+
+    def passes(self, source: str, target: str) -> bool:
+        """Tell whether one message arrives."""
+        lost = self.random.random() < self.loss
+        return (source, target) not in self.cuts and not lost
+
+    async def call(
+        self,
+        source: str,
+        target: str,
+        work: Callable[[Any, FakeContext], Awaitable[T]],
+        timeout_s: float,
+    ) -> T:
+        """Call a replica; a lost message ends in a timeout, as on a real network."""
+        deadline_s = asyncio.get_running_loop().time() + timeout_s
+        if not self.passes(source, target):
+            await asyncio.sleep(timeout_s)
+            raise TransportError("timeout")
+        await asyncio.sleep(self.random.uniform(0.0005, 0.004))
+        replica = self.replicas.get(target)
+        if replica is None or not replica.running:
+            raise TransportError("refused")
+        try:
+            async with asyncio.timeout(timeout_s):
+                reply = await work(replica.servicer, FakeContext(timeout_s))
+        except asyncio.CancelledError as error:
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                raise
+            # The peer was stopped while it worked on the call.
+            raise TransportError("refused") from error
+        except TimeoutError as error:
+            raise TransportError("timeout") from error
+        if self.passes(target, source) and target in self.replicas:
+            return reply
+        await asyncio.sleep(max(deadline_s - asyncio.get_running_loop().time(), 0))
+        raise TransportError("timeout")
+
+
+def duplicate(message: Any) -> Any:
+    """Return a copy of a message, as one that crossed a network."""
+    assert isinstance(message, Message)
+    copy = type(message)()
+    copy.CopyFrom(message)
+    return copy
+
+
+class FakeTransport:
+    """The calls of one replica over a `Network`."""
+
+    def __init__(self, network: Network, source: str) -> None:
+        self.network = network
+        self.source = source
+
+    async def send(
+        self, name: str, address: str, request: Any, timeout_s: float
+    ) -> Any:
+        """Call a method of the peer's servicer with a copy of the request."""
+        return duplicate(
+            await self.network.call(
+                self.source,
+                address,
+                lambda servicer, context: getattr(servicer, name)(
+                    duplicate(request), context
+                ),
+                timeout_s,
+            )
+        )
+
+    async def request_vote(self, address: str, request: Any, timeout_s: float) -> Any:
+        """Ask for a vote."""
+        return await self.send("RequestVote", address, request, timeout_s)
+
+    async def append_entries(self, address: str, request: Any, timeout_s: float) -> Any:
+        """Hand over entries."""
+        return await self.send("AppendEntries", address, request, timeout_s)
+
+    async def install_snapshot(
+        self,
+        address: str,
+        chunks: Iterable[agreement_pb2.SnapshotChunk],
+        timeout_s: float,
+    ) -> Any:
+        """Hand over a snapshot."""
+
+        async def iterate() -> Any:
+            for chunk in list(chunks):
+                yield duplicate(chunk)
+
+        return await self.network.call(
+            self.source,
+            address,
+            lambda servicer, context: servicer.InstallSnapshot(iterate(), context),
+            timeout_s,
+        )
+
+    async def propose(
+        self, address: str, change: state_pb2.Change, timeout_s: float
+    ) -> Any:
+        """Pass a change on."""
+        return await self.send("Propose", address, change, timeout_s)
+
+    async def join(self, address: str, request: Any, timeout_s: float) -> Any:
+        """Ask to be admitted."""
+        return await self.send("Join", address, request, timeout_s)
+
+    async def identify(self, address: str, timeout_s: float) -> Any:
+        """Ask for the identity."""
+        request = agreement_pb2.IdentifyRequest()
+        return await self.send("Identify", address, request, timeout_s)
--- /dev/null
+++ b/tests/agreement/test_machine.py
@@ -0,0 +1,119 @@
+"""Agreement through crashes, failing syncs, cuts and lost disks, on a plain model."""
+
+from hypothesis import HealthCheck
+from hypothesis import settings
+from hypothesis import strategies
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import initialize
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+
+from tests.agreement.cluster import Cluster
+from tests.agreement.cluster import make_change
+
+NAMES = strategies.sampled_from(["c0", "c1", "c2"])
+ENOSPC = 28
+
+
+class AgreementMachine(RuleBasedStateMachine):
+    """Drives three controllers; `Cluster` holds the model and its checks."""
+
+    cluster: Cluster
+
+    @initialize(seed=strategies.integers(0, 2**32))
+    def begin(self, seed: int) -> None:
+        """Start three controllers on empty disks."""
+        self.cluster = Cluster(3, seed)
+        self.count = 0
+        self.backups: dict[str, dict[str, bytes]] = {}
+        self.cluster.start_all()
+        self.cluster.run(1.5)
+
+    @rule(name=NAMES, changes=strategies.integers(1, 5))
+    def propose(self, name: str, changes: int) -> None:
+        """Propose changes at a controller that is up."""
+        if name not in self.cluster.replicas:
+            return
+        for _ in range(changes):
+            self.count += 1
+            self.cluster.propose(name, make_change(self.count))
+
+    @rule(name=NAMES, back=strategies.integers(0, 8))
+    def resend(self, name: str, back: int) -> None:
+        """Propose a former change again."""
+        if name in self.cluster.replicas and self.count > back:
+            self.cluster.propose(name, make_change(self.count - back))
+
+    @rule(seconds=strategies.sampled_from([0.003, 0.02, 0.2, 1.0, 3.0]))
+    def wait(self, seconds: float) -> None:
+        """Let time pass."""
+        self.cluster.run(seconds)
+
+    @rule(name=NAMES)
+    def crash(self, name: str) -> None:
+        """Kill a controller, or start it if it is down."""
+        if name in self.cluster.replicas:
+            self.cluster.crash(name)
+        else:
+            self.cluster.start(name)
+
+    @rule(name=NAMES)
+    def cut(self, name: str) -> None:
+        """Cut a controller off, silently."""
+        self.cluster.network.cut(self.cluster.addresses[name])
+
+    @rule(loss=strategies.sampled_from([0.0, 0.1, 0.3]))
+    def heal(self, loss: float) -> None:
+        """Let everything pass again, but for some loss."""
+        self.cluster.network.heal()
+        self.cluster.network.loss = loss
+
+    @rule(name=NAMES)
+    def fail_disk(self, name: str) -> None:
+        """Fill a disk, or free it."""
+        disk = self.cluster.disks[name]
+        disk.error = 0 if disk.error else ENOSPC
+
+    @rule(name=NAMES)
+    def compact(self, name: str) -> None:
+        """Write a snapshot in place of the log."""
+        replica = self.cluster.replicas.get(name)
+        if replica is not None:
+            self.cluster.loop.run_until_complete(replica.write_snapshot())
+
+    @rule(name=NAMES)
+    def back_up(self, name: str) -> None:
+        """Copy the files of a controller."""
+        self.backups[name] = self.cluster.disks[name].copy()
+
+    @precondition(lambda self: self.cluster.is_settled())
+    @rule(name=NAMES, old=strategies.booleans())
+    def lose_disk(self, name: str, old: bool) -> None:
+        """Bring a controller back with an empty or an old disk.
+
+        Only while all vote: two of three disks lost at once is beyond repair.
+        """
+        if name in self.cluster.replicas:
+            self.cluster.crash(name)
+        self.cluster.disks[name].restore(self.backups.get(name, {}) if old else {})
+        self.cluster.start(name)
+
+    def teardown(self) -> None:
+        """Repair everything and check the model."""
+        if not hasattr(self, "cluster"):
+            return
+        try:
+            self.cluster.settle()
+        finally:
+            self.cluster.close()
+
+
+AgreementMachine.TestCase.settings = settings(
+    max_examples=60,
+    stateful_step_count=50,
+    deadline=None,
+    derandomize=True,
+    print_blob=True,
+    suppress_health_check=list(HealthCheck),
+)
+TestAgreement = AgreementMachine.TestCase
--- /dev/null
+++ b/tests/agreement/test_replicas.py
@@ -0,0 +1,206 @@
+"""Replicas through one fault each, on a virtual clock."""
+
+from collections.abc import Iterator
+
+import pytest
+from result import Err
+from result import Ok
+
+from lentilfork.agreement import Replica
+from lentilfork.schema import state_pb2
+from lentilfork.state.codec import encode_controller
+from tests.agreement.cluster import Cluster
+from tests.agreement.cluster import make_change
+
+ENOSPC = 28
+EROFS = 30
+
+
+@pytest.fixture
+def cluster() -> Iterator[Cluster]:
+    """Three controllers with a leader."""
+    cluster = Cluster(3, seed=7)
+    cluster.start_all()
+    cluster.get_leader()
+    yield cluster
+    cluster.close()
+
+
+def accept(cluster: Cluster, name: str, number: int) -> int:
+    """Propose a change, which must be accepted; returns its generation."""
+    change = make_change(number)
+    task = cluster.propose(name, change)
+    cluster.run_until(task.done)
+    return cluster.accepted[change.change_id]
+
+
+def split(cluster: Cluster) -> tuple[str, list[str]]:
+    """Return the leader's name and the others'."""
+    leader = cluster.get_leader().core.name
+    return leader, [name for name in cluster.addresses if name != leader]
+
+
+def test_leader_loss_to_first_accepted_change_within_3_s(cluster: Cluster) -> None:
+    for round_number in range(20):
+        leader, others = split(cluster)
+        cluster.crash(leader)
+        started_s = cluster.loop.time()
+        accept(cluster, others[round_number % 2], round_number)
+        assert cluster.loop.time() - started_s <= 3
+        cluster.settle()
+
+
+def test_cut_off_leader_accepts_nothing_and_takes_nothing_back(
+    cluster: Cluster,
+) -> None:
+    leader, others = split(cluster)
+    before = accept(cluster, leader, 1)
+    cluster.network.cut(cluster.addresses[leader])
+    started_s = cluster.loop.time()
+    replica = cluster.replicas[leader]
+    answer = cluster.loop.run_until_complete(replica.propose(make_change(2)))
+    assert cluster.loop.time() - started_s <= 5
+    assert isinstance(answer, Err)
+    assert answer.err_value.unknown
+    assert "change-2" in answer.err_value.failure.message
+    assert not replica.is_leader
+    # A change that came after it stepped down was never written: refused for good.
+    late = cluster.loop.run_until_complete(replica.propose(make_change(3)))
+    assert isinstance(late, Err)
+    assert not late.err_value.unknown
+    accepted = [accept(cluster, others[0], number) for number in range(4, 10)]
+    cluster.run(600)
+    assert replica.state.cluster.generation == before
+    cluster.network.heal()
+    cluster.run_until(lambda: replica.state.cluster.generation == accepted[-1], 5)
+    cluster.settle()
+
+
+def test_resend_gets_first_answer_after_restart_and_compaction(
+    cluster: Cluster,
+) -> None:
+    first = accept(cluster, "c0", 1)
+    accept(cluster, "c0", 6)
+    cluster.settle()
+    for replica in cluster.replicas.values():
+        cluster.loop.run_until_complete(replica.write_snapshot())
+    for name in list(cluster.replicas):
+        cluster.crash(name)
+    cluster.start_all()
+    cluster.get_leader()
+    answers = [
+        cluster.loop.run_until_complete(replica.propose(make_change(1)))
+        for replica in cluster.replicas.values()
+    ]
+    assert [answer.unwrap().generation for answer in answers] == [first] * 3
+
+
+@pytest.mark.parametrize("error", [ENOSPC, EROFS], ids=["full", "read-only"])
+def test_leader_whose_disk_fails_steps_down(cluster: Cluster, error: int) -> None:
+    leader, others = split(cluster)
+    replica = cluster.replicas[leader]
+    cluster.disks[leader].error = error
+    cluster.propose(leader, make_change(1))
+    cluster.run_until(lambda: not replica.is_leader, 3)
+    assert replica.failure is not None
+    accept(cluster, others[0], 2)
+    assert replica.core.log.synced_index < cluster.get_leader().core.log.synced_index
+    cluster.settle()
+    assert replica.failure is None
+
+
+@pytest.mark.parametrize("old", [False, True], ids=["empty", "old"])
+def test_lost_disk_does_not_vote_until_admitted_anew(
+    cluster: Cluster, old: bool
+) -> None:
+    leader, (witness, lost) = split(cluster)
+    backup = cluster.disks[lost].copy()
+    cluster.network.cut(cluster.addresses[witness])
+    accept(cluster, leader, 1)
+    # Only the leader and `lost` hold the change. `lost` forgets, the leader dies.
+    cluster.crash(lost)
+    cluster.disks[lost].restore(backup if old else {})
+    cluster.crash(leader)
+    cluster.start(lost)
+    cluster.network.heal()
+    cluster.run(30)
+    assert cluster.get_leaders() == [], "the two that are left lack the change"
+    cluster.start(leader)
+    cluster.settle()
+    assert cluster.accepted["change-1"] in {
+        entry.generation for entry in cluster.replicas[lost].state.history
+    }
+
+
+def test_second_host_lost_right_after_repair_loses_nothing(cluster: Cluster) -> None:
+    leader, (kept, lost) = split(cluster)
+    accept(cluster, leader, 1)
+    cluster.network.cut(cluster.addresses[kept])
+    accept(cluster, leader, 2)
+    cluster.network.heal()
+    cluster.crash(lost)
+    cluster.disks[lost].restore({})
+    cluster.start(lost)
+    cluster.run_until(lambda: cluster.replicas[lost].core.is_voter)
+    cluster.crash(leader)
+    accept(cluster, kept, 3)
+    assert len(cluster.get_leader().state.history) == 3
+
+
+def test_disk_that_lost_confirmed_entries_is_found_out(cluster: Cluster) -> None:
+    leader, (lost, _) = split(cluster)
+    accept(cluster, leader, 1)
+    cluster.settle()
+    disk = cluster.disks[lost]
+    held = dict(disk.content)
+    accept(cluster, leader, 2)
+    cluster.settle()
+    disk_id = cluster.replicas[lost].core.storage.disk_id
+    cluster.crash(lost)
+    # The disk had reported the sync; same files, without what came last.
+    disk.content.update(held)
+    cluster.start(lost)
+    cluster.run_until(lambda: cluster.replicas[lost].core.storage.disk_id != disk_id, 5)
+    cluster.settle()
+
+
+def promote(replica: Replica, name: str, voter: bool) -> state_pb2.Change:
+    """Return a change that gives a controller a vote or takes it."""
+    members = [
+        encode_controller(item)
+        for item in replica.core.configuration.values()
+        if item.name != name
+    ]
+    member = encode_controller(replica.core.configuration[name])
+    member.voter = voter
+    controllers = state_pb2.ControllerSet(controllers=[*members, member])
+    return state_pb2.Change(change_id="", put_controllers=controllers)
+
+
+def test_learner_that_lags_is_not_promoted(cluster: Cluster) -> None:
+    leader, (lagging, _) = split(cluster)
+    replica = cluster.replicas[leader]
+
+    def change(voter: bool) -> state_pb2.ChangeResult:
+        asked = replica.propose(promote(replica, lagging, voter))
+        answer = cluster.loop.run_until_complete(asked)
+        assert isinstance(answer, Ok)
+        return answer.ok_value
+
+    cluster.crash(lagging)
+    assert change(voter=False).outcome == state_pb2.ACCEPTED
+    accept(cluster, leader, 1)
+    cluster.run(3)
+    refused = change(voter=True)
+    assert refused.outcome == state_pb2.INVALID
+    assert "caught up" in refused.message
+    cluster.start(lagging)
+    cluster.run_until(lambda: cluster.replicas[lagging].core.is_voter)
+
+
+def test_leadership_is_handed_over_at_once(cluster: Cluster) -> None:
+    leader, others = split(cluster)
+    started_s = cluster.loop.time()
+    cluster.loop.run_until_complete(cluster.replicas[leader].step_down())
+    accept(cluster, others[0], 1)
+    assert cluster.loop.time() - started_s < 0.6, "no election timeout passed"
--- /dev/null
+++ b/tests/state/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the agreed state."""
--- /dev/null
+++ b/tests/state/test_changes.py
@@ -0,0 +1,160 @@
+"""How changes lead to generations, and what is answered."""
+
+import pytest
+
+from lentilfork.schema import state_pb2
+from lentilfork.state import ReplicatedState
+from lentilfork.state import apply_change
+from lentilfork.state import decode_replicated
+from lentilfork.state import encode_replicated
+from lentilfork.state import replicated
+
+
+def make_service(name: str = "chairs", port: int = 5683) -> state_pb2.Service:
+    """Return a valid service."""
+    return state_pb2.Service(name=name, address="10.0.0.1", port=port, deadline_ms=900)
+
+
+def make_agent(incarnation: int, joined: int = 0) -> state_pb2.Agent:
+    """Return a valid agent at an incarnation."""
+    return state_pb2.Agent(
+        name="agent-1",
+        incarnation=incarnation,
+        service="chairs",
+        data_centre="recife",
+        packet_address="10.0.0.9:7001",
+        control_address="10.0.0.9:7000",
+        slots=2,
+        joined=joined,
+    )
+
+
+def make_change(
+    number: int = 1, operator: str = "ana", **kind: object
+) -> state_pb2.Change:
+    """Return a change of one kind."""
+    # The names and types of the fields are those of Change.
+    return state_pb2.Change(change_id=f"id-{number}", operator=operator, **kind)  # type: ignore[arg-type]
+
+
+def apply_all(*changes: state_pb2.Change) -> ReplicatedState:
+    """Return the state after changes that all take effect."""
+    state = ReplicatedState()
+    for change in changes:
+        state, result = apply_change(state, change)
+        assert result.outcome == state_pb2.ACCEPTED, result
+    return state
+
+
+def test_racing_operators_one_wins_and_the_other_learns_by_what() -> None:
+    state = apply_all(make_change(1, apply_service=make_service()))
+    version = state.cluster.services["chairs"].version
+    first = make_change(2, apply_service=make_service(port=1), expected_version=version)
+    second = make_change(3, "rui", remove_service="chairs", expected_version=version)
+    state, won = apply_change(state, first)
+    state, lost = apply_change(state, second)
+    assert won.outcome == state_pb2.ACCEPTED
+    assert lost.outcome == state_pb2.VERSION_CONFLICT
+    assert (lost.conflict.change_id, lost.conflict.operator) == ("id-2", "ana")
+    assert lost.conflict.generation == state.cluster.generation == won.generation
+    assert state.cluster.services["chairs"].port == 1
+
+
+def test_removal_that_won_is_told_to_the_loser() -> None:
+    state = apply_all(
+        make_change(1, apply_service=make_service()),
+        make_change(2, "rui", remove_service="chairs"),
+    )
+    late = make_change(3, apply_service=make_service(), expected_version=1)
+    state, lost = apply_change(state, late)
+    assert lost.outcome == state_pb2.VERSION_CONFLICT
+    assert (lost.conflict.change_id, lost.conflict.operator) == ("id-2", "rui")
+
+
+def test_resend_gets_first_answer_again_through_a_snapshot() -> None:
+    change = make_change(1, apply_service=make_service(), expected_version=0)
+    state, first = apply_change(ReplicatedState(), change)
+    state, _ = apply_change(state, make_change(2, remove_service="chairs"))
+    restored = decode_replicated(
+        state_pb2.Snapshot.FromString(encode_replicated(state).SerializeToString())
+    )
+    assert restored == state
+    after, again = apply_change(restored, change)
+    assert again == first
+    assert after == restored, "a resend changes nothing"
+
+
+def test_first_answers_and_history_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("lentilfork.state.changes.HISTORY_KEPT", 20)
+    monkeypatch.setattr("lentilfork.state.changes.SYSTEM_RESULTS_KEPT", 5)
+    assert replicated.OPERATOR_RESULTS_KEPT >= 10_000
+    operators = [make_change(number, use_preset="peak") for number in range(30)]
+    system = [
+        make_change(number, "", put_agent=make_agent(number))
+        for number in range(100, 110)
+    ]
+    state = apply_all(*operators, *system)
+    assert len(state.history) == 20
+    assert state.history_dropped == 10
+    assert state.history[-1].change_id == "id-29"
+    assert len(state.system_results) == 5
+    assert len(state.operator_results) == 30, "system changes push none out"
+
+
+INVALID = {
+    "upper case name": {"apply_service": make_service("Chairs")},
+    "no address": {"apply_service": state_pb2.Service(name="a", port=1, deadline_ms=1)},
+    "port 0": {"apply_service": make_service("other", port=0)},
+    "address taken": {"apply_service": make_service("other")},
+    "unknown service": {"remove_service": "other"},
+    "unknown preset": {"use_preset": "holiday"},
+    "preset in force": {"remove_preset": "ordinary-day"},
+    "replaced incarnation": {"put_agent": make_agent(11)},
+    "older by joined": {"put_agent": make_agent(13, joined=2)},
+    "other incarnation": {
+        "remove_agent": state_pb2.Voter(agent="agent-1", incarnation=11)
+    },
+    "nothing": {},
+}
+
+
+@pytest.mark.parametrize("kind", INVALID.values(), ids=INVALID.keys())
+def test_invalid_change_is_refused_and_changes_nothing(kind: dict[str, object]) -> None:
+    state = apply_all(
+        make_change(1, apply_service=make_service()),
+        make_change(2, "", put_agent=make_agent(11)),
+        make_change(3, "", put_agent=make_agent(12)),
+    )
+    after, result = apply_change(state, make_change(4, "ana", **kind))
+    assert result.outcome == state_pb2.INVALID
+    assert result.message
+    assert after.cluster == state.cluster
+    assert after.history == state.history
+
+
+def test_service_keeps_its_id_and_never_takes_one_of_another() -> None:
+    state = apply_all(
+        make_change(1, apply_service=make_service()),
+        make_change(2, apply_service=make_service(port=9)),
+        make_change(3, apply_service=make_service("other")),
+        make_change(4, remove_service="other"),
+        make_change(5, apply_service=make_service("third")),
+    )
+    assert state.cluster.services["chairs"].id == 1
+    assert state.cluster.services["third"].id == 3
+    assert state.cluster.generation == 5
+
+
+def test_shard_keeps_its_voters_within_an_epoch() -> None:
+    def put(number: int, epoch: int, *voters: str) -> state_pb2.Change:
+        shard = state_pb2.ClaimShard(
+            service="chairs",
+            epoch=epoch,
+            voters=[state_pb2.Voter(agent=name, incarnation=1) for name in voters],
+        )
+        return make_change(number, "", put_claim_shard=shard)
+
+    state = apply_all(put(1, 1, "a", "b"), put(2, 2, "a", "c"))
+    for number, change in enumerate((put(3, 2, "a", "d"), put(4, 1, "a", "b"))):
+        state, result = apply_change(state, change)
+        assert result.outcome == state_pb2.INVALID, number
--- /dev/null
+++ b/tests/state/test_deltas.py
@@ -0,0 +1,139 @@
+"""Deltas between generations: lossless, and refused where they do not fit."""
+
+from collections.abc import Callable
+from dataclasses import replace
+
+import pytest
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+from result import Err
+from result import Ok
+
+from lentilfork.schema import state_pb2
+from lentilfork.state import ReplicatedState
+from lentilfork.state import apply_change
+from lentilfork.state import apply_delta
+from lentilfork.state import compute_digest
+from lentilfork.state import decode_snapshot
+from lentilfork.state import encode_snapshot
+from lentilfork.state import make_delta
+from lentilfork.state.model import ClusterState
+
+NAMES = strategies.sampled_from(["a", "b", "c"])
+NUMBERS = strategies.integers(1, 3)
+
+
+def make_agent(name: str, number: int) -> state_pb2.Agent:
+    """Return an agent."""
+    return state_pb2.Agent(
+        name=name,
+        incarnation=number,
+        service="a",
+        data_centre="salvador",
+        packet_address="10.0.0.1:1",
+        control_address="10.0.0.1:2",
+        slots=number,
+    )
+
+
+def make_shard(name: str, number: int) -> state_pb2.ClaimShard:
+    """Return a claim shard."""
+    voters = [state_pb2.Voter(agent=name, incarnation=number)]
+    return state_pb2.ClaimShard(service=name, epoch=number, voters=voters)
+
+
+def make_preset(name: str, number: int) -> state_pb2.Preset:
+    """Return a preset."""
+    return state_pb2.Preset(name=name, queue_time_ms=number)
+
+
+def make_service(name: str, number: int) -> state_pb2.Service:
+    """Return a service at an address of its own."""
+    return state_pb2.Service(
+        name=name, address=f"10.0.0.{ord(name)}", port=number, deadline_ms=1
+    )
+
+
+def make_controllers(name: str, number: int) -> state_pb2.ControllerSet:
+    """Return a set of one controller."""
+    controller = state_pb2.Controller(name=name, voter=True, disk_id=number)
+    return state_pb2.ControllerSet(controllers=[controller])
+
+
+Make = Callable[[str, int], object]
+MAKERS: dict[str, Make] = {
+    "apply_service": make_service,
+    "remove_service": lambda name, _number: name,
+    "apply_preset": make_preset,
+    "remove_preset": lambda name, _number: name,
+    "use_preset": lambda name, _number: name,
+    "put_agent": make_agent,
+    "remove_agent": lambda name, n: state_pb2.Voter(agent=name, incarnation=n),
+    "put_balancer": lambda name, n: state_pb2.Balancer(name=name, incarnation=n),
+    "remove_balancer": lambda name, n: state_pb2.Voter(agent=name, incarnation=n),
+    "put_claim_shard": make_shard,
+    "put_controllers": make_controllers,
+}
+STEPS = strategies.tuples(strategies.sampled_from(sorted(MAKERS)), NAMES, NUMBERS)
+
+
+def apply_steps(
+    state: ReplicatedState, steps: list[tuple[str, str, int]]
+) -> ReplicatedState:
+    """Return the state after changes, some of which are refused."""
+    for kind, name, number in steps:
+        fields = {kind: MAKERS[kind](name, number)}
+        # The names and types of the fields are those of Change.
+        change = state_pb2.Change(**fields)  # type: ignore[arg-type]
+        state, _ = apply_change(state, change)
+    return state
+
+
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(strategies.lists(STEPS, max_size=12), strategies.lists(STEPS, max_size=12))
+def test_delta_and_snapshot_lead_to_the_same_state(
+    before: list[tuple[str, str, int]], after: list[tuple[str, str, int]]
+) -> None:
+    old = apply_steps(ReplicatedState(), before)
+    new = apply_steps(old, after).cluster
+    assert decode_snapshot(encode_snapshot(new)) == new
+    if new.generation == old.cluster.generation:
+        return
+    assert compute_digest(new) != compute_digest(old.cluster)
+    assert apply_delta(old.cluster, make_delta(old.cluster, new)) == Ok(new)
+
+
+def make_states() -> tuple[ClusterState, ClusterState]:
+    """Return two generations."""
+    first = apply_steps(ReplicatedState(), [("apply_service", "a", 1)])
+    second = apply_steps(first, [("put_agent", "b", 1)])
+    return first.cluster, second.cluster
+
+
+REFUSED: dict[str, tuple[dict[str, int], str]] = {
+    "gap": ({"base": 7, "generation": 8}, "made for generation 7"),
+    "lower generation": ({"generation": 1}, "not above"),
+    "wrong digest": ({"digest": 1}, "wrong digest"),
+}
+
+
+@pytest.mark.parametrize(("fields", "message"), REFUSED.values(), ids=REFUSED)
+def test_delta_that_does_not_fit_is_refused(
+    fields: dict[str, int], message: str
+) -> None:
+    old, new = make_states()
+    delta = make_delta(old, new)
+    for name, value in fields.items():
+        setattr(delta, name, value)
+    refused = apply_delta(old, delta)
+    assert isinstance(refused, Err)
+    assert message in refused.err_value.message
+
+
+def test_delta_on_a_state_that_diverged_is_refused() -> None:
+    old, new = make_states()
+    diverged = replace(old, active_preset="peak")
+    delta = make_delta(old, new)
+    delta.active_preset = ""
+    assert isinstance(apply_delta(diverged, delta), Err)
