Add lentilfork-bench: replay one trace on each system and compare

`flows` replays arrivals and faults on lentilfork and on two baselines with the same fabric, backend servers and callers, and writes histograms, imbalance, control bytes and memory as JSON and a plot; `record` makes a trace of a run. The launcher now takes the definitions of the operator command instead of models of its own.

Not measured yet: a first run of the baselines had every lean caller deaf, since asyncio's datagram transport is no DatagramTransport here; that check is gone.

--- a/src/lentilfork/bench/baseline_deployment.py
+++ b/src/lentilfork/bench/baseline_deployment.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 from pathlib import Path
 from typing import Any
 from typing import Final
@@ -104,8 +105,8 @@
 
     async def tell_balancers(self) -> None:
         """Tell each running balancer the agents, with pauses between them."""
-        for name in self.plan.balancers:
-            process = self.get_process(name)
-            if process.alive:
-                await process.send_control(self.list_agents())
-                await asyncio.sleep(UPDATE_PAUSE_S)
+        for name in list(self.plan.balancers):
+            # One that dies meanwhile needs no list.
+            with contextlib.suppress(RuntimeError):
+                await self.get_process(name).send_control(self.list_agents())
+            await asyncio.sleep(UPDATE_PAUSE_S)
--- /dev/null
+++ b/src/lentilfork/bench/command.py
@@ -0,0 +1,186 @@
+"""The command `lentilfork-bench`: replay, record and compare."""
+
+import asyncio
+import json
+import tempfile
+from pathlib import Path
+from typing import ClassVar
+from typing import Final
+
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import argument
+from cleo.helpers import option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+from lentilfork.bench.crowd import Crowd
+from lentilfork.bench.deployment import Deployment
+from lentilfork.bench.description import DeploymentDescription
+from lentilfork.bench.description import load_description
+from lentilfork.bench.experiment import SYSTEMS
+from lentilfork.bench.experiment import draw_load
+from lentilfork.bench.experiment import make_changes
+from lentilfork.bench.experiment import run_system
+from lentilfork.bench.plot import plot_reports
+from lentilfork.bench.report import Report
+from lentilfork.bench.trace import Trace
+from lentilfork.bench.trace import read_trace
+from lentilfork.bench.trace import record_trace
+from lentilfork.bench.workload import Kind
+
+__all__ = ["main"]
+
+DEFAULT_DEPLOYMENT: Final = "examples/guild/deployment.json"
+DEFAULT_FOLDER: Final = "build/bench"
+RECORDED_CALLERS: Final = {Kind.LOOKUP: 24, Kind.CHANGE: 12, Kind.DOWNLOAD: 4}
+RECORDED_PAUSES_S: Final = {Kind.LOOKUP: 0.2, Kind.CHANGE: 0.2, Kind.DOWNLOAD: 0.5}
+
+
+class FlowsCommand(Command):
+    """Replays one trace on each system and compares what came of it."""
+
+    name = "flows"
+    description = "Compare broken flows, imbalance, goodput and times of systems."
+    help = """\
+Replays one trace on lentilfork and on two baselines, one after the other, with the
+same callers, fabric and backend servers. Writes report.json and report.png.
+
+Examples:
+  lentilfork-bench flows
+  lentilfork-bench flows --steady --load 0.7 --duration 60
+  lentilfork-bench flows --trace trace.jsonl --systems lentilfork,hash
+"""
+    options: ClassVar[list[Option]] = [
+        option("deployment", "d", "deployment file", flag=False, default=""),
+        option("trace", "t", "replay this trace", flag=False, default=""),
+        option("load", "l", "share of capacity used", flag=False, default="0.5"),
+        option("duration", None, "seconds of arrivals", flag=False, default="45"),
+        option("seed", "s", "seed of arrivals", flag=False, default="1"),
+        option("steady", None, "no changes while callers ask"),
+        option("systems", None, "which to run", flag=False, default=",".join(SYSTEMS)),
+        option("out", "o", "folder to write to", flag=False, default=DEFAULT_FOLDER),
+    ]
+
+    def handle(self) -> int:
+        """Run the experiment; returns the exit code."""
+        out = Path(self.option("out"))
+        out.mkdir(parents=True, exist_ok=True)
+        description = find_description(self.option("deployment"))
+        trace = self.find_trace(description)
+        self.line(f"seed {trace.seed}, {len(trace.arrivals)} arrivals")
+        chosen = self.option("systems").split(",")
+        reports = []
+        for system in (system for system in SYSTEMS if system in chosen):
+            self.line(f"running {system}")
+            with tempfile.TemporaryDirectory() as folder:
+                reports.append(
+                    asyncio.run(run_system(system, description, trace, Path(folder)))
+                )
+            self.show(reports[-1])
+        trace.write(out / "trace.jsonl")
+        write_reports(reports, out)
+        self.line(f"written: {out / 'report.json'}, {out / 'report.png'}")
+        return 0
+
+    def find_trace(self, description: DeploymentDescription) -> Trace:
+        """Return the trace to replay: a recorded one, or one drawn by a seed."""
+        if self.option("trace"):
+            return read_trace(Path(self.option("trace")))
+        duration_s = float(self.option("duration"))
+        steady = self.option("steady")
+        faults = [] if steady else make_changes(description, duration_s)
+        return draw_load(
+            description,
+            float(self.option("load")),
+            duration_s,
+            int(self.option("seed")),
+            faults,
+        )
+
+    def show(self, report: Report) -> None:
+        """Print the main figures of a run."""
+        lookups = report.latencies["lookup"].percentiles_ms
+        imbalance = ", ".join(
+            f"{service} {value:.2f}" for service, value in report.imbalance.items()
+        )
+        control = max(report.control_bytes_per_s.values(), default=0.0)
+        self.line(
+            f"  {report.sent} sent, {report.complete} complete, "
+            f"{report.broken} broken, {report.wrong} wrong, "
+            f"{report.doubled} doubled; outcomes {report.outcomes}"
+        )
+        self.line(
+            f"  goodput {report.goodput_per_s:.1f}/s; lookup p50 "
+            f"{lookups['p50']:.0f} ms, p99 {lookups['p99']:.0f} ms; "
+            f"imbalance {imbalance}; control {control:.0f} B/s; "
+            f"arrivals up to {report.lateness_s * 1000:.0f} ms late"
+        )
+
+
+class RecordCommand(Command):
+    """Records what callers ask of a running deployment as a trace."""
+
+    name = "record"
+    description = "Run callers against a deployment and record a trace."
+    arguments: ClassVar[list[Argument]] = [
+        argument("file", "trace file to write"),
+    ]
+    options: ClassVar[list[Option]] = [
+        option("deployment", "d", "deployment file", flag=False, default=""),
+        option("duration", None, "seconds of arrivals", flag=False, default="20"),
+        option("seed", "s", "seed of the callers", flag=False, default="1"),
+    ]
+
+    def handle(self) -> int:
+        """Record; returns the exit code."""
+        description = find_description(self.option("deployment"))
+        duration_s, seed = float(self.option("duration")), int(self.option("seed"))
+        with tempfile.TemporaryDirectory() as folder:
+            trace = asyncio.run(record(description, Path(folder), duration_s, seed))
+        trace.write(Path(self.argument("file")))
+        self.line(f"{len(trace.arrivals)} arrivals written")
+        return 0
+
+
+async def record(
+    description: DeploymentDescription, folder: Path, duration_s: float, seed: int
+) -> Trace:
+    """Return the trace of a run of callers."""
+    async with Deployment(description, folder) as deployment:
+        crowd = Crowd(deployment, RECORDED_CALLERS, RECORDED_PAUSES_S, seed)
+        async with crowd:
+            await asyncio.sleep(duration_s)
+        mean_times_s = {
+            service.definition.name: service.service_time_ms / 1000
+            for service in description.services
+        }
+        speeds = {
+            endpoint.config.name: endpoint.config.behaviour.speed
+            for endpoint in deployment.plan.endpoints.values()
+        }
+        runs = deployment.list_runs()
+        return record_trace(
+            description.name, seed, crowd.records, runs, [], mean_times_s, speeds
+        )
+
+
+def find_description(path: str) -> DeploymentDescription:
+    """Return the deployment in a file, the guild's where none is named."""
+    return load_description(Path(path or DEFAULT_DEPLOYMENT))
+
+
+def write_reports(reports: list[Report], folder: Path) -> None:
+    """Write all reports as JSON and as a plot."""
+    documents = [report.model_dump(mode="json") for report in reports]
+    text = json.dumps(documents, indent=2) + "\n"
+    (folder / "report.json").write_text(text, encoding="utf-8")
+    plot_reports(reports, folder / "report.png")
+
+
+def main() -> int:
+    """Run the command; returns its exit code."""
+    application = Application("lentilfork-bench")
+    application.add(FlowsCommand())
+    application.add(RecordCommand())
+    return application.run()
--- a/src/lentilfork/bench/deployment.py
+++ b/src/lentilfork/bench/deployment.py
@@ -28,7 +28,6 @@
 from lentilfork.bench.processes import Process
 from lentilfork.bench.processes import ProcessGroup
 from lentilfork.schema import admin_pb2
-from lentilfork.schema import state_pb2
 
 __all__ = ["Deployment"]
 
@@ -203,8 +202,7 @@
         """Apply presets and services; returns the last generation made."""
         generation = 0
         for preset in self.description.presets:
-            message = state_pb2.Preset(**preset.model_dump())
-            generation = await self.operator.apply_preset(message)
+            generation = await self.operator.apply_preset(preset.to_message())
         for service in self.description.services:
             generation = await self.apply_service(service.definition.name)
         return generation
@@ -213,9 +211,9 @@
         """Apply a service at its loopback address; returns the generation."""
         definition = self.plan.get_service(name).definition
         host, _, port = self.get_address(name).rpartition(":")
-        fields = {**definition.model_dump(), **changes}
-        fields.update(address=host, port=int(port))
-        return await self.operator.apply_service(state_pb2.Service(**fields))
+        place = {"address": host, "port": int(port)}
+        changed = definition.model_copy(update={**changes, **place})
+        return await self.operator.apply_service(changed.to_message())
 
     async def use_preset(self, name: str) -> int:
         """Switch the preset and wait until it is in force; returns the generation."""
--- a/src/lentilfork/bench/description.py
+++ b/src/lentilfork/bench/description.py
@@ -7,58 +7,28 @@
 
 import json
 from pathlib import Path
-from typing import Annotated
 from typing import Any
 from typing import Literal
 
-from pydantic import BaseModel
-from pydantic import ConfigDict
 from pydantic import Field
 
+from lentilfork.cli.definitions import PresetDefinition
+from lentilfork.cli.definitions import ServiceDefinition
+from lentilfork.settings import FrozenModel
+from lentilfork.settings import ProcessName
+
 __all__ = [
-    "Definition",
     "DeploymentDescription",
-    "PresetDefinition",
     "ServiceDescription",
     "load_description",
 ]
 
-Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
-
-
-class FrozenModel(BaseModel):
-    """A model that refuses unknown keys and later changes."""
-
-    model_config = ConfigDict(extra="forbid", frozen=True)
-
-
-class Definition(FrozenModel):
-    """A service as operators apply it; see `Service` in schema/state.proto."""
-
-    name: Name
-    # Replaced by a loopback address where the deployment is started.
-    address: str = "127.0.0.1"
-    port: int = 5683
-    deadline_ms: int = Field(default=6_000, gt=0)
-    long_paths: tuple[str, ...] = ()
-
-
-class PresetDefinition(FrozenModel):
-    """Limits as operators apply them; see `Preset` in schema/state.proto."""
-
-    name: Name
-    queue_per_slot: int
-    queue_time_ms: int
-    retry_budget_percent: int
-    hedge_after_ms: int = 0
-    drain_ms: int = 60_000
-    cold_start_ms: int = 5_000
-
 
 class ServiceDescription(FrozenModel):
     """A service and the backend servers that stand in for it."""
 
-    definition: Definition
+    # As operators apply it; a loopback address replaces its own.
+    definition: ServiceDefinition
     endpoints: int = Field(gt=0)
     slots: int = Field(default=1, gt=0)
     # Requests that wait inside a backend server.
@@ -76,8 +46,8 @@
 class DeploymentDescription(FrozenModel):
     """A whole deployment."""
 
-    name: Name
-    places: tuple[Name, ...] = ("here",)
+    name: ProcessName
+    places: tuple[ProcessName, ...] = ("here",)
     controllers: int = Field(default=3, gt=0)
     balancers: int = Field(default=3, gt=0)
     services: tuple[ServiceDescription, ...]
--- /dev/null
+++ b/src/lentilfork/bench/driver.py
@@ -0,0 +1,85 @@
+"""Does the faults of a trace to a deployment, each at its time."""
+
+import asyncio
+import time
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Final
+
+from lentilfork.bench.deployment import Deployment
+from lentilfork.bench.trace import Fault
+
+__all__ = ["FaultDriver"]
+
+# The fabric goes on sending to a dead balancer for this long.
+FABRIC_LAG_S: Final = 1.0
+# A draining backend server stays for this long before its agent is stopped.
+DRAIN_LAG_S: Final = 4.0
+EXIT_TIMEOUT_S: Final = 40.0
+
+
+class FaultDriver:
+    """Applies faults; each action is a method named as in the trace."""
+
+    deployment: Deployment
+    actions: dict[str, Callable[[str], Awaitable[None]]]
+
+    def __init__(self, deployment: Deployment) -> None:
+        self.deployment = deployment
+        self.actions = {
+            "drain": self.drain,
+            "add": self.add,
+            "kill": self.kill,
+            "kill_balancer": self.kill_balancer,
+            "replace_balancer": self.replace_balancer,
+            "use_preset": self.use_preset,
+        }
+
+    async def run(self, faults: Iterable[Fault], begins: float) -> None:
+        """Apply each fault at its time after `begins`, a monotonic time."""
+        async with asyncio.TaskGroup() as group:
+            for fault in sorted(faults, key=lambda fault: fault.at_s):
+                await asyncio.sleep(max(0.0, begins + fault.at_s - time.monotonic()))
+                group.create_task(self.apply(fault))
+
+    async def apply(self, fault: Fault) -> None:
+        """Apply one fault; raises KeyError for an unknown action."""
+        await self.actions[fault.action](fault.target)
+
+    async def drain(self, agent: str) -> None:
+        """Take a backend server out of service and stop it with its agent."""
+        await self.deployment.set_behaviour(agent, draining=True)
+        await asyncio.sleep(DRAIN_LAG_S)
+        process = self.deployment.get_process(agent)
+        process.terminate()
+        await process.wait_exit(EXIT_TIMEOUT_S)
+        self.deployment.get_process(f"server-{agent}").terminate()
+
+    async def add(self, service: str) -> None:
+        """Start one more backend server with its agent."""
+        await self.deployment.start_endpoint(service)
+        await self.deployment.wait_ready()
+
+    async def kill(self, name: str) -> None:
+        """Kill any process."""
+        self.deployment.get_process(name).kill()
+
+    async def kill_balancer(self, name: str) -> None:
+        """Kill a balancer; the fabric notices a little later."""
+        self.deployment.get_process(name).kill()
+        await asyncio.sleep(FABRIC_LAG_S)
+        await self.deployment.spray(name, enabled=False)
+
+    async def replace_balancer(self, name: str) -> None:
+        """Start a new balancer, then stop an old one."""
+        self.deployment.start_balancer()
+        await self.deployment.wait_ready()
+        await self.deployment.spray(name, enabled=False)
+        process = self.deployment.get_process(name)
+        process.terminate()
+        await process.wait_exit(EXIT_TIMEOUT_S)
+
+    async def use_preset(self, name: str) -> None:
+        """Switch the preset."""
+        await self.deployment.use_preset(name)
--- /dev/null
+++ b/src/lentilfork/bench/ideal.py
@@ -0,0 +1,71 @@
+"""An ideal single queue: the bound no placement of requests can beat by much.
+
+All slots of a service draw from one queue in order of arrival, and an arrival that
+finds several slots free takes the fastest. Nothing else takes time.
+"""
+
+import heapq
+from collections.abc import Iterable
+from collections.abc import Sequence
+
+from lentilfork.bench.description import ServiceDescription
+from lentilfork.bench.trace import Arrival
+from lentilfork.bench.workload import Kind
+
+__all__ = ["replay_ideally"]
+
+
+def list_slot_speeds(service: ServiceDescription) -> list[float]:
+    """Return the speed of each slot of a service."""
+    return [
+        service.speeds[number % len(service.speeds)]
+        for number in range(service.endpoints)
+        for _ in range(service.slots)
+    ]
+
+
+def replay_ideally(
+    service: ServiceDescription, arrivals: Iterable[Arrival]
+) -> list[float]:
+    """Return the time in seconds each arrival of the service spends, in order."""
+    name = service.definition.name
+    own = [arrival for arrival in arrivals if arrival.request.service == name]
+    return serve_in_order(service, own, list_slot_speeds(service))
+
+
+def serve_in_order(
+    service: ServiceDescription, arrivals: Sequence[Arrival], speeds: Sequence[float]
+) -> list[float]:
+    """Return the sojourn times of arrivals served first come, first served."""
+    mean_s = get_mean_time(service, arrivals)
+    # Free slots, fastest first, and busy ones, by the time they become free.
+    free = [(-speed, slot) for slot, speed in enumerate(speeds)]
+    busy: list[tuple[float, int]] = []
+    heapq.heapify(free)
+    times_s = []
+    for arrival in arrivals:
+        while busy and busy[0][0] <= arrival.at_s:
+            _, slot = heapq.heappop(busy)
+            heapq.heappush(free, (-speeds[slot], slot))
+        begins, slot = take_slot(arrival.at_s, free, busy)
+        ends = begins + mean_s * arrival.work / speeds[slot]
+        heapq.heappush(busy, (ends, slot))
+        times_s.append(ends - arrival.at_s)
+    return times_s
+
+
+def get_mean_time(service: ServiceDescription, arrivals: Sequence[Arrival]) -> float:
+    """Return the mean time of a request of the service at speed 1, in seconds."""
+    long = bool(arrivals) and arrivals[0].request.kind is Kind.DOWNLOAD
+    mean_ms = service.long_service_time_ms if long else service.service_time_ms
+    return mean_ms / 1000
+
+
+def take_slot(
+    at_s: float, free: list[tuple[float, int]], busy: list[tuple[float, int]]
+) -> tuple[float, int]:
+    """Return when the next request begins and in which slot."""
+    if free:
+        _, slot = heapq.heappop(free)
+        return at_s, slot
+    return heapq.heappop(busy)
--- a/src/lentilfork/bench/lean.py
+++ b/src/lentilfork/bench/lean.py
@@ -10,6 +10,7 @@
 import random
 from collections.abc import Mapping
 from typing import Final
+from typing import cast
 
 from aiocoap import error
 from aiocoap.message import Message
@@ -73,8 +74,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport for sending."""
-        assert isinstance(transport, asyncio.DatagramTransport)
-        self.transport = transport
+        self.transport = cast("asyncio.DatagramTransport", transport)
 
     def datagram_received(self, data: bytes, addr: Address) -> None:
         """Hand an answer to the exchange it belongs to."""
--- /dev/null
+++ b/src/lentilfork/bench/meter.py
@@ -0,0 +1,57 @@
+"""Measures of a running deployment: control traffic and memory."""
+
+import psutil
+
+from lentilfork.bench.deployment import Deployment
+from lentilfork.bench.detours import Detours
+from lentilfork.bench.plan import Host
+from lentilfork.bench.plan import Wiring
+
+__all__ = ["ControlMeter", "measure_memory"]
+
+BYTES_PER_MB = 1_000_000
+
+
+class ControlMeter(Detours):
+    """Wiring whose only proxies count bytes between balancers and controllers."""
+
+    def get_controller(self, member: str, controller: Host) -> str:
+        """Return a proxy for balancers, the true address for agents."""
+        if member.startswith("entry-"):
+            return super().get_controller(member, controller)
+        return controller.control_address
+
+    def get_balancer(self, balancer: Host) -> str:
+        """Return the true address."""
+        return Wiring.get_balancer(self, balancer)
+
+    def get_return(self, agent: str, return_address: str) -> str:
+        """Return the true address."""
+        return return_address
+
+    def get_server(self, agent: str, server_address: str) -> str:
+        """Return the true address."""
+        return server_address
+
+    def get_announced(self, agent: Host) -> Host:
+        """Return the true addresses."""
+        return agent
+
+    def count_bytes(self) -> dict[str, int]:
+        """Return the bytes passed so far in both directions, by balancer."""
+        counted: dict[str, int] = {}
+        for (path, _), proxy in self.proxies.items():
+            balancer = path.partition(">")[0]
+            passed = proxy.counters.get("bytes", "forward")
+            passed += proxy.counters.get("bytes", "backward")
+            counted[balancer] = counted.get(balancer, 0) + passed
+        return counted
+
+
+def measure_memory(deployment: Deployment) -> dict[str, float]:
+    """Return the unique memory of each running process in megabytes."""
+    return {
+        name: psutil.Process(process.pid).memory_full_info().uss / BYTES_PER_MB
+        for name, process in deployment.group.processes.items()
+        if process.alive
+    }
--- a/src/lentilfork/bench/processes.py
+++ b/src/lentilfork/bench/processes.py
@@ -39,6 +39,8 @@
     group: "ProcessGroup"
     # The running or the last process; None before the first start.
     popen: subprocess.Popen[bytes] | None
+    # Held from a control line to its answer, so that answers are not mixed up.
+    control: asyncio.Lock
 
     def __init__(
         self, name: str, arguments: tuple[str, ...], group: "ProcessGroup"
@@ -49,6 +51,7 @@
         self.output = group.folder / f"{name}.out"
         self.errors = group.folder / f"{name}.log"
         self.popen = None
+        self.control = asyncio.Lock()
 
     @property
     def pid(self) -> int:
@@ -132,12 +135,20 @@
 
     async def send_control(self, change: ControlChange) -> None:
         """Apply a change to a stand-in; returns when it is in force."""
-        assert self.popen is not None
-        assert self.popen.stdin is not None
-        before = self.count_answers()
+        await wait_until(
+            lambda: self.count_answers() > 0, ANSWER_TIMEOUT_S, f"{self.name} to start"
+        )
+        async with self.control:
+            before = self.count_answers()
+            self.write_control(change)
+            await self.expect_answer(before, ANSWER_APPLIED)
+
+    def write_control(self, change: ControlChange) -> None:
+        """Write a control line; raises RuntimeError where the process has ended."""
+        if self.popen is None or self.popen.stdin is None or not self.alive:
+            raise RuntimeError(f"{self.name} does not run")
         self.popen.stdin.write(json.dumps(change).encode() + b"\n")
         self.popen.stdin.flush()
-        await self.expect_answer(before, ANSWER_APPLIED)
 
     async def expect_answer(self, before: int, expected: str) -> None:
         """Wait for a line after the first `before`; raises RuntimeError."""
--- /dev/null
+++ b/src/lentilfork/bench/report.py
@@ -0,0 +1,180 @@
+"""Figures of one run, from callers' records and backend servers' journals."""
+
+from collections import Counter
+from collections import defaultdict
+from collections.abc import Iterable
+from collections.abc import Sequence
+from typing import Any
+from typing import Final
+
+from hdrh.histogram import HdrHistogram
+from pydantic import BaseModel
+
+from lentilfork.bench.description import DeploymentDescription
+from lentilfork.bench.ideal import replay_ideally
+from lentilfork.bench.journals import Run
+from lentilfork.bench.outcomes import Outcome
+from lentilfork.bench.outcomes import Record
+from lentilfork.bench.trace import Trace
+from lentilfork.bench.verdict import judge_run
+from lentilfork.bench.workload import Kind
+
+__all__ = ["Latencies", "Report", "make_report", "measure_imbalance"]
+
+LOWEST_US: Final = 1
+HIGHEST_US: Final = 600_000_000
+SIGNIFICANT_DIGITS: Final = 3
+PERCENTILES: Final = (50.0, 90.0, 99.0, 99.9)
+
+
+class Latencies(BaseModel):
+    """Times of the requests that completed."""
+
+    count: int
+    # By percentile, such as "p99".
+    percentiles_ms: dict[str, float]
+    # The whole histogram in microseconds, as HdrHistogram encodes it.
+    histogram: str
+
+
+class Report(BaseModel):
+    """One run of one system."""
+
+    system: str
+    deployment: str
+    seed: int
+    duration_s: float
+    sent: int
+    complete: int
+    broken: int
+    wrong: int
+    doubled: int
+    # How requests ended, by outcome.
+    outcomes: dict[str, int]
+    # Completed requests for each second of the trace.
+    goodput_per_s: float
+    # Busiest endpoint's utilisation over the mean, by service.
+    imbalance: dict[str, float]
+    # Utilisation of each endpoint that stood through the whole run.
+    utilisation: dict[str, float]
+    # By kind of request; "ideal" ones are of a single queue with the same trace.
+    latencies: dict[str, Latencies]
+    ideal_latencies: dict[str, Latencies]
+    # Bytes a second between each balancer and the controllers, both directions.
+    control_bytes_per_s: dict[str, float] = {}
+    # Unique memory at the end, by process.
+    memory_mb: dict[str, float] = {}
+    # Longest time an arrival was sent after its due time.
+    lateness_s: float = 0.0
+    # Datagrams sent by callers, retransmissions included.
+    datagrams: int = 0
+
+
+def measure_latencies(times_s: Iterable[float]) -> Latencies:
+    """Return percentiles and histogram of times."""
+    histogram: Any = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+    for time_s in times_s:
+        histogram.record_value(max(LOWEST_US, int(time_s * 1_000_000)))
+    percentiles = {
+        f"p{percentile:g}": histogram.get_value_at_percentile(percentile) / 1000
+        for percentile in PERCENTILES
+    }
+    return Latencies(
+        count=histogram.get_total_count(),
+        percentiles_ms=percentiles,
+        histogram=histogram.encode().decode(),
+    )
+
+
+def measure_utilisation(
+    runs: Iterable[Run], slots: dict[str, int], begins: float, ends: float
+) -> dict[str, float]:
+    """Return the busy share of each backend server's slots between two times."""
+    busy_s: dict[str, float] = defaultdict(float)
+    for run in runs:
+        ended = ends if run.ended is None else run.ended
+        busy_s[run.server] += max(0.0, min(ended, ends) - max(run.started, begins))
+    return {
+        server: busy_s[server] / (number * (ends - begins))
+        for server, number in slots.items()
+    }
+
+
+def measure_imbalance(utilisation: Sequence[float]) -> float:
+    """Return the highest utilisation over the mean; 0 where nothing ran."""
+    total = sum(utilisation)
+    return max(utilisation) * len(utilisation) / total if total else 0.0
+
+
+def find_service(server: str) -> str:
+    """Return the service of a backend server named by the plan."""
+    return server.removeprefix("server-").rpartition("-")[0]
+
+
+def make_report(
+    system: str,
+    description: DeploymentDescription,
+    trace: Trace,
+    records: Sequence[Record],
+    runs: Sequence[Run],
+    slots: dict[str, int],
+    begins: float,
+) -> Report:
+    """Return the figures; `slots` names the servers that stood through the run."""
+    verdict = judge_run(records, runs)
+    ends = begins + trace.duration_s
+    utilisation = measure_utilisation(runs, slots, begins, ends)
+    by_service = {
+        service.definition.name: [
+            share
+            for server, share in utilisation.items()
+            if find_service(server) == service.definition.name
+        ]
+        for service in description.services
+    }
+    outcomes = Counter(record.outcome.value for record in records)
+    return Report(
+        system=system,
+        deployment=description.name,
+        seed=trace.seed,
+        duration_s=trace.duration_s,
+        sent=verdict.sent,
+        complete=verdict.complete,
+        broken=verdict.broken,
+        wrong=verdict.wrong,
+        doubled=verdict.doubled,
+        outcomes=dict(outcomes),
+        goodput_per_s=verdict.complete / trace.duration_s,
+        imbalance={
+            service: measure_imbalance(shares)
+            for service, shares in by_service.items()
+            if shares
+        },
+        utilisation=utilisation,
+        latencies=measure_kinds(records),
+        ideal_latencies=measure_ideal(description, trace),
+    )
+
+
+def measure_kinds(records: Sequence[Record]) -> dict[str, Latencies]:
+    """Return the times of completed requests by kind."""
+    return {
+        kind.value: measure_latencies(
+            record.latency_s
+            for record in records
+            if record.request.kind is kind and record.outcome is Outcome.COMPLETE
+        )
+        for kind in Kind
+    }
+
+
+def measure_ideal(
+    description: DeploymentDescription, trace: Trace
+) -> dict[str, Latencies]:
+    """Return the times of the same arrivals at ideal single queues, by service."""
+    return {
+        service.definition.name: measure_latencies(
+            replay_ideally(service, trace.arrivals)
+        )
+        for service in description.services
+    }
