Reach a controller through a forwarded port where settings say so

A controller is known to all by one address, so nothing could stand between just two of them. The new key `via` of a peer names where this process reaches it. A peer that cannot be asked for want of certificates no longer ends the task that replicates to it.

--- a/src/lentilfork/agreement/replica.py
+++ b/src/lentilfork/agreement/replica.py
@@ -91,7 +91,8 @@
         self.settings = settings
         self.counters = counters
         storage = Storage(files or OsFiles(settings.data_folder))
-        transport = transport or GrpcTransport(channels)
+        routes = {peer.address: peer.via for peer in settings.controllers if peer.via}
+        transport = transport or GrpcTransport(channels, routes)
         self.core = Core(settings, transport, counters, randomness, storage)
         self.core.log = Log(storage, StoredLog())
         self.election = Election(self.core, self.lead)
--- a/src/lentilfork/agreement/transport.py
+++ b/src/lentilfork/agreement/transport.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Iterable
+from collections.abc import Mapping
 from typing import Protocol
 from typing import TypeVar
 
@@ -68,13 +69,20 @@
     """Calls over gRPC."""
 
     channels: Channels
+    # Where peers are reached, by the address they are known by.
+    routes: Mapping[str, str]
 
-    def __init__(self, channels: Channels) -> None:
+    def __init__(self, channels: Channels, routes: Mapping[str, str]) -> None:
         self.channels = channels
+        self.routes = routes
 
     def make_stub(self, address: str) -> "agreement_pb2_grpc.AgreementAsyncStub":
-        """Return the stub for a peer."""
-        return agreement_pb2_grpc.AgreementStub(self.channels.get(address))
+        """Return the stub for a peer; TransportError without certificates."""
+        try:
+            channel = self.channels.get(self.routes.get(address, address))
+        except RuntimeError as error:
+            raise TransportError(str(error)) from error
+        return agreement_pb2_grpc.AgreementStub(channel)
 
     async def request_vote(
         self, address: str, request: agreement_pb2.VoteRequest, timeout_s: float
--- a/src/lentilfork/settings.py
+++ b/src/lentilfork/settings.py
@@ -164,6 +164,8 @@
 
     name: ProcessName
     address: SocketAddress
+    # Where this process reaches it instead, such as a forwarded port.
+    via: SocketAddress | None = None
 
 
 def check_different(peers: tuple[ControllerPeer, ...]) -> tuple[ControllerPeer, ...]:
