Let an owner ask who holds a download, and admit agents only with a table

Two causes stood out in the records. Bursts of "no answer in time" followed the start of a new agent: others gave it buckets before its own first generation was in force, so it dropped their packets as of an unknown service. And long flows were made to start anew: after a bucket moved, the new owner waited 0.5 s for registrations of runners that lag by up to 5 s, then placed the flow's next block on another agent, whose queue refused it. Ruled out: lost packets between processes (no socket errors) and ended agents (none had ended within 5 s of a burst). Change: an agent announces itself as draining until its first generation is in force; an owner that does not know a download sends the block to all agents of the service and the holder serves it; a flow that moved is not refused by limits for new work. The hand-over of flows by registration is gone: it is not needed.

--- a/src/lentilfork/admission/queue.py
+++ b/src/lentilfork/admission/queue.py
@@ -100,6 +100,13 @@
         left_s = deadline - time.monotonic()
         return await self.wait_for_slot(min(left_s, limits.queue_time_ms / 1000))
 
+    async def enter_again(self, deadline: float) -> Result[None, Refusal]:
+        """Wait for a slot for work that was taken in before; only time is a limit."""
+        if self.running < self.slots and not self.waiting:
+            self.running += 1
+            return Ok(None)
+        return await self.wait_for_slot(deadline - time.monotonic())
+
     async def wait_for_slot(self, timeout_s: float) -> Result[None, Refusal]:
         """Wait in the queue until a slot is handed over."""
         turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
--- a/src/lentilfork/agent.py
+++ b/src/lentilfork/agent.py
@@ -1,6 +1,6 @@
 """The agent: border to one backend server, and one of the owners of its service.
 
-Wires the dispatcher (owner), the runner, claims and hand-over to the sockets, and
+Wires the dispatcher (owner), the runner and claims to the sockets, and
 announces the backend server to the controllers with its health.
 """
 
@@ -20,18 +20,14 @@
 from lentilfork.claims import GrpcPeers
 from lentilfork.dispatcher import Dispatcher
 from lentilfork.errors import Failure
-from lentilfork.handover import Handover
-from lentilfork.handover import RoutingServicer
 from lentilfork.jobs import Job
 from lentilfork.member import Member
 from lentilfork.once import ClaimedRunner
 from lentilfork.routing import LoadReport
-from lentilfork.routing import ServiceRoute
 from lentilfork.runner import Runner
 from lentilfork.schema import claims_pb2_grpc
 from lentilfork.schema import control_pb2
 from lentilfork.schema import packets_pb2
-from lentilfork.schema import packets_pb2_grpc
 from lentilfork.schema import state_pb2
 from lentilfork.settings import split_address
 from lentilfork.state.model import ClusterState
@@ -61,7 +57,6 @@
     voter: ClaimVoter
     runner: Runner
     dispatcher: Dispatcher
-    handover: Handover
     # Send time of the newest acknowledged heartbeat that renewed the voter.
     renewed_ms: int
     # Number of the last load report.
@@ -105,8 +100,8 @@
             answer=self.send_answer,
             serve=self.runner.accept,
             measure_load=self.measure_load,
+            holds=self.runner.downloads.holds,
         )
-        self.handover = Handover(self.dispatcher, self.runner, channels, self.counters)
         feed.subscribe(self.update)
 
     @property
@@ -130,9 +125,6 @@
     def register_services(self, server: grpc.aio.Server) -> None:
         """Add what other agents call to this process's server."""
         claims_pb2_grpc.add_ClaimsServicer_to_server(self.voter, server)
-        packets_pb2_grpc.add_RoutingServicer_to_server(
-            RoutingServicer(self.dispatcher), server
-        )
 
     async def announce_health(self) -> None:
         """Tell the controllers at once when the backend server's health changes."""
@@ -157,7 +149,7 @@
                 settings.announced_control_address or settings.control_address
             ),
             slots=settings.slots,
-            draining=self.leaving or not self.backend.serving,
+            draining=not self.takes_work(),
         )
         return control_pb2.Heartbeat(
             agent=agent,
@@ -165,6 +157,15 @@
             synced_shards=self.voter.synced_shards(),
         )
 
+    def takes_work(self) -> bool:
+        """Return whether others may place new work here.
+
+        Not before the first generation is in force here: without it, this agent
+        would drop what others send to it.
+        """
+        ready = self.member.feed.ready.is_set()
+        return ready and self.backend.serving and not self.leaving
+
     def renew_voter(self) -> None:
         """Let the voter go on if the leader has acknowledged a heartbeat since."""
         feed = self.member.feed
@@ -174,16 +175,10 @@
 
     def update(self, old: ClusterState, new: ClusterState) -> None:
         """Take a new generation into force."""
-        before = self.find_own_route()
+        if not old.generation:
+            self.member.feed.announce()
         self.dispatcher.update(old, new)
         self.voter.update(new)
-        self.handover.update(before, self.find_own_route())
-
-    def find_own_route(self) -> "ServiceRoute | None":
-        """Return the route of this agent's service in the table in force."""
-        routes = self.dispatcher.table.by_id.values()
-        own = (r for r in routes if r.service.name == self.settings.service)
-        return next(own, None)
 
     def receive(self, data: bytes, sender: tuple[str, int]) -> None:
         """Take one datagram."""
--- a/src/lentilfork/bench/faults.py
+++ b/src/lentilfork/bench/faults.py
@@ -31,13 +31,19 @@
     # Share of datagrams held back for a random time up to `reorder_ms`.
     reorder: float = Field(default=0.0, ge=0, le=1)
     reorder_ms: float = Field(default=50.0, ge=0)
-    # One-way delay of everything.
+    # One-way delay of what passes in `delay_direction`.
     delay_ms: float = Field(default=0.0, ge=0)
+    delay_direction: Literal["forward", "backward", "both"] = "both"
     # Direction in which nothing passes: datagrams are lost, TCP data waits.
     cut: Literal["none", "forward", "backward", "both"] = "none"
     # Everything waits, in both directions.
     frozen: bool = False
 
+    def get_delay_ms(self, direction: Direction) -> float:
+        """Return the one-way delay in a direction."""
+        delayed = self.delay_direction in (direction, "both")
+        return self.delay_ms if delayed else 0.0
+
     def is_cut(self, direction: Direction) -> bool:
         """Tell whether nothing passes in a direction."""
         return self.cut in (direction, "both")
--- a/src/lentilfork/bench/tcp_proxy.py
+++ b/src/lentilfork/bench/tcp_proxy.py
@@ -123,7 +123,7 @@
             if chunk and self.happens(self.faults.drop):
                 self.counters.add("connections_broken", direction)
                 raise ConnectionResetError("broken by a fault")
-            due = time.monotonic() + self.faults.delay_ms / 1000
+            due = time.monotonic() + self.faults.get_delay_ms(direction) / 1000
             await chunks.put((due, chunk))
 
     async def write_chunks(
@@ -140,6 +140,7 @@
             if not chunk:
                 writer.write_eof()
                 return
+            self.counters.add("bytes", direction, len(chunk))
             writer.write(chunk)
             await writer.drain()
 
--- a/src/lentilfork/bench/udp_proxy.py
+++ b/src/lentilfork/bench/udp_proxy.py
@@ -132,16 +132,16 @@
             self.counters.add("datagrams_duplicated", direction)
             copies = 2
         for _ in range(copies):
-            self.send_later(source, data, destination, self.draw_delay())
+            self.send_later(source, data, destination, self.draw_delay(direction))
         self.counters.add("datagrams", direction)
 
-    def draw_delay(self) -> float:
+    def draw_delay(self, direction: Direction) -> float:
         """Return the one-way time of one datagram in milliseconds."""
         late_ms = 0.0
         if self.happens(self.faults.reorder):
             self.counters.add("datagrams_held_back")
             late_ms = self.random.uniform(0, self.faults.reorder_ms)
-        return self.faults.delay_ms + late_ms
+        return self.faults.get_delay_ms(direction) + late_ms
 
     def send_later(
         self, source: socket.socket, data: bytes, destination: Address, delay_ms: float
--- a/src/lentilfork/dispatcher.py
+++ b/src/lentilfork/dispatcher.py
@@ -3,13 +3,17 @@
 Takes envelopes from balancers and other agents. Packets of buckets owned elsewhere
 are sent on; those of own buckets are placed: copies and later blocks go where
 their exchange or download is served, new requests to the least loaded agent.
+
+An owner that does not know where a download is served, since its bucket has moved
+here, asks all agents of the service by sending them the packet: the one that holds
+the download serves it and says so. No hand-over between owners is needed, so a
+planned change, a lost owner and processes that lag behind take the same way.
 """
 
 import asyncio
 import random
 import time
 from collections.abc import Callable
-from collections.abc import Iterable
 from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Final
@@ -45,9 +49,8 @@
 __all__ = ["MAXIMUM_HOPS", "Dispatcher"]
 
 MAXIMUM_HOPS: Final = 6
-# Time after a change of agents in which runners tell new owners what they serve.
-SETTLING_S: Final = 0.5
-HOLD_STEP_S: Final = 0.05
+# Time in which the holder of a download answers before it is placed anew.
+ASKING_S: Final = 0.25
 
 SendEnvelope = Callable[[packets_pb2.Envelope, tuple[str, int]], None]
 
@@ -64,8 +67,8 @@
     downloads: Directory
     loads: LoadBook
     chance: random.Random
-    # Until then blocks of unknown downloads are held; monotonic seconds.
-    settled_at: float
+    # Downloads asked for, by key; their blocks wait until the answer.
+    asking: set[bytes]
 
     def __init__(
         self,
@@ -76,6 +79,7 @@
         answer: Callable[[bytes], None],
         serve: Callable[[Job], None],
         measure_load: Callable[[], LoadReport],
+        holds: Callable[[bytes], bool],
     ) -> None:
         self.own = own
         self.service = service
@@ -84,12 +88,13 @@
         self.answer = answer
         self.serve = serve
         self.measure_load = measure_load
+        self.holds = holds
         self.table = RoutingTable(ClusterState())
         self.exchanges = Directory(EXCHANGE_LIFETIME_S)
         self.downloads = Directory(DOWNLOAD_LIFETIME_S)
         self.loads = LoadBook()
         self.chance = random.Random()
-        self.settled_at = 0.0
+        self.asking = set()
 
     def update(self, old: ClusterState, new: ClusterState) -> None:
         """Take a new generation into force."""
@@ -100,8 +105,6 @@
         for agent in gone:
             self.exchanges.forget_agent(agent.name)
             self.downloads.forget_agent(agent.name)
-        if old.list_agents(self.service) != list(agents.values()):
-            self.settled_at = time.monotonic() + SETTLING_S
 
     def receive(self, data: bytes, _sender: tuple[str, int]) -> None:
         """Take one datagram from a balancer or another agent."""
@@ -112,6 +115,9 @@
             return
         if envelope.HasField("load"):
             self.record_load(envelope.load)
+        if envelope.held:
+            now = time.monotonic()
+            self.downloads.record(envelope.held, envelope.load.agent, now)
         if envelope.packet:
             self.receive_packet(envelope)
 
@@ -158,7 +164,7 @@
         message = parse_message(packet.payload)
         if isinstance(message, Request):
             job = self.make_job(envelope, packet, route, message)
-            self.handle_request(job, route, placed=envelope.placed)
+            self.handle_request(job, route, envelope)
         elif message is Signal.PING:
             reset = encode_reset(packet.payload)
             self.answer(build_packet(packet.pair, reset, to_caller=True))
@@ -186,9 +192,13 @@
             placer=envelope.load.agent if envelope.placed else self.own,
         )
 
-    def handle_request(self, job: Job, route: ServiceRoute, *, placed: bool) -> None:
+    def handle_request(
+        self, job: Job, route: ServiceRoute, envelope: packets_pb2.Envelope
+    ) -> None:
         """Serve a request that was placed here, or place it."""
-        if placed or job.hops >= MAXIMUM_HOPS:
+        if envelope.if_held:
+            self.serve_held(job, route)
+        elif envelope.placed or job.hops >= MAXIMUM_HOPS:
             self.serve(job)
         else:
             self.place(job, route)
@@ -198,12 +208,20 @@
         now = time.monotonic()
         agents = {agent.name: agent for agent in route.agents}
         known = self.find_known(job, now)
-        if known is None and job.request.block_number and now < self.settled_at:
-            self.hold(job)
+        if known is None and job.request.block_number:
+            self.ask_holder(job, route)
             return
         agent = agents.get(known) if known else None
         if agent is None:
-            agent = self.choose(route, job.tried, now)
+            self.place_anew(job, route)
+        else:
+            self.record(job, agent.name, now)
+            self.hand_out(job, agent)
+
+    def place_anew(self, job: Job, route: ServiceRoute) -> None:
+        """Send a request to the least loaded agent."""
+        now = time.monotonic()
+        agent = self.choose(route, job.tried, now)
         if agent is None:
             # No agent may take new work: this one refuses it for all.
             self.serve(job)
@@ -233,14 +251,6 @@
         self.hand_out(replace(job, tried=tried), agent)
         return True
 
-    def record_served(
-        self, agent: str, exchanges: Iterable[bytes], downloads: Iterable[bytes]
-    ) -> None:
-        """Remember what a runner says it serves."""
-        now = time.monotonic()
-        self.exchanges.record_all(exchanges, agent, now)
-        self.downloads.record_all(downloads, agent, now)
-
     def find_known(self, job: Job, now: float) -> str | None:
         """Return the agent that serves this exchange or download already."""
         known = self.exchanges.find(job.exchange_key, now)
@@ -248,16 +258,45 @@
             known = self.downloads.find(job.download_key, now)
         return known
 
-    def hold(self, job: Job) -> None:
-        """Look again a little later, when runners have told what they serve."""
-        self.counters.add("held")
-        asyncio.get_running_loop().call_later(HOLD_STEP_S, self.place_again, job)
-
-    def place_again(self, job: Job) -> None:
-        """Place a held request by the table now in force."""
+    def ask_holder(self, job: Job, route: ServiceRoute) -> None:
+        """Send a later block to all agents; the holder of the download serves it."""
+        key = job.download_key
+        if self.holds(key):
+            self.downloads.record(key, self.own, time.monotonic())
+            self.serve(job)
+            return
+        if key in self.asking:
+            # A copy: the first one is on its way.
+            return
+        self.counters.add("downloads", "asked for")
+        self.asking.add(key)
+        envelope = make_placed_envelope(job, self.table.generation)
+        envelope.if_held = True
+        others = (agent for agent in route.agents if agent.name != self.own)
+        for agent in others:
+            self.send(envelope, split_address(agent.packet_address))
+        loop = asyncio.get_running_loop()
+        loop.call_later(ASKING_S, self.conclude_asking, job)
+
+    def conclude_asking(self, job: Job) -> None:
+        """Place a download anew if no agent holds it."""
+        key = job.download_key
+        self.asking.discard(key)
         route = self.table.by_id.get(job.service.id)
-        if route is not None:
-            self.place(job, route)
+        if route is not None and self.downloads.find(key, time.monotonic()) is None:
+            self.counters.add("downloads", "placed anew")
+            self.place_anew(job, route)
+
+    def serve_held(self, job: Job, route: ServiceRoute) -> None:
+        """Serve a later block if this agent holds the download, and say so."""
+        if not self.holds(job.download_key):
+            return
+        self.serve(job)
+        agents = {agent.name: agent for agent in route.agents}
+        asker = agents.get(job.placer)
+        if asker is not None:
+            held = packets_pb2.Envelope(held=job.download_key)
+            self.send(held, split_address(asker.packet_address))
 
     def record(self, job: Job, agent: str, now: float) -> None:
         """Remember where a request was sent."""
--- a/src/lentilfork/downloads.py
+++ b/src/lentilfork/downloads.py
@@ -34,8 +34,6 @@
     answer: Answer
     # Key of the exchange whose answer was the first block.
     exchange: bytes
-    # Routing bucket of the flow.
-    bucket: int
     used_at: float
     # The last block has been sent at least once.
     finished: bool = False
@@ -61,6 +59,10 @@
         self.entries.move_to_end(key)
         return download.answer
 
+    def holds(self, key: bytes) -> bool:
+        """Return whether a flow is served here."""
+        return key in self.entries
+
     def find_first(self, key: bytes, exchange: bytes) -> Answer | None:
         """Return the answer for a copy of the request that began a flow."""
         download = self.entries.get(key)
@@ -72,7 +74,7 @@
         """Hold an answer for a flow; returns it, with its bytes shared."""
         shared = self.share(job.request.target, answer)
         self.entries[job.download_key] = Download(
-            shared, job.exchange_key, job.bucket, time.monotonic()
+            shared, job.exchange_key, time.monotonic()
         )
         self.entries.move_to_end(job.download_key)
         self.forget_old()
@@ -89,11 +91,11 @@
         if download is not None:
             download.finished = True
 
-    def list_active(self) -> list[tuple[bytes, int]]:
-        """Return key and bucket of each flow whose caller is still fetching."""
+    def list_active(self) -> list[bytes]:
+        """Return the keys of the flows whose callers are still fetching."""
         now = time.monotonic()
         return [
-            (key, download.bucket)
+            key
             for key, download in self.entries.items()
             if not download.finished and now - download.used_at < ACTIVE_S
         ]
--- a/src/lentilfork/jobs.py
+++ b/src/lentilfork/jobs.py
@@ -6,7 +6,6 @@
 from lentilfork.borders.packets import SocketPair
 from lentilfork.routing import download_key
 from lentilfork.routing import exchange_key
-from lentilfork.routing import find_bucket
 from lentilfork.state.model import Service
 
 __all__ = ["Job"]
@@ -47,11 +46,6 @@
         target = f"{self.request.method} {self.request.target}"
         return download_key(self.pair.caller_key(), target)
 
-    @property
-    def bucket(self) -> int:
-        """Routing bucket of the flow."""
-        return find_bucket(self.pair.flow_key())
-
     @property
     def is_long(self) -> bool:
         """Whether the service serves this path as a long answer."""
--- a/src/lentilfork/runner.py
+++ b/src/lentilfork/runner.py
@@ -233,7 +233,11 @@
         if not self.may_run() or not self.backend.serving:
             self.counters.add("refused", "not serving")
             return self.queue.refuse_unavailable()
-        entered = await self.queue.enter(job.deadline, self.limits)
+        if job.request.block_number:
+            # A running flow that has moved here is not cut by limits for new work.
+            entered = await self.queue.enter_again(job.deadline)
+        else:
+            entered = await self.queue.enter(job.deadline, self.limits)
         if isinstance(entered, Err):
             self.counters.add("refused", entered.err_value.reason)
             return entered
--- a/tests/borders/test_packets.py
+++ b/tests/borders/test_packets.py
@@ -49,6 +49,7 @@
         answer=lambda _packet: None,
         serve=served.append,
         measure_load=lambda: LoadReport("agent-1", 0, 0, 0, 100, 1),
+        holds=lambda _key: False,
     )
     services = [
         Service(1, "warnings", "127.0.0.1", 5683, 2000, (), 1),
--- /dev/null
+++ b/tests/deployments.py
@@ -0,0 +1,115 @@
+"""Deployments of today as real processes, for the proofs of the data path."""
+
+import asyncio
+import contextlib
+import logging
+import random
+from collections.abc import AsyncIterator
+from collections.abc import Iterable
+from datetime import UTC
+from datetime import datetime
+from pathlib import Path
+from typing import Final
+
+from lentilfork.bench.deployment import Deployment
+from lentilfork.bench.description import DeploymentDescription
+from lentilfork.bench.description import load_description
+from lentilfork.bench.detours import Detours
+from lentilfork.bench.outcomes import Record
+from lentilfork.bench.plan import Host
+from lentilfork.bench.plan import Wiring
+from lentilfork.bench.verdict import is_broken
+from lentilfork.bench.workload import Kind
+
+__all__ = [
+    "SEED",
+    "SMALL_CROWD",
+    "LaggingUpdates",
+    "load_example",
+    "open_deployment",
+    "print_broken",
+    "replace_endpoint",
+]
+
+EXAMPLES: Final = Path(__file__).resolve().parent.parent / "examples"
+SEED: Final = 20_261_204
+MAXIMUM_UPDATE_DELAY_MS: Final = 5_000.0
+NEW_WORK_S: Final = 3.0
+EXIT_TIMEOUT_S: Final = 60.0
+SMALL_CROWD: Final = {Kind.LOOKUP: 20, Kind.CHANGE: 20, Kind.DOWNLOAD: 5}
+
+
+class LaggingUpdates(Detours):
+    """Delays updates from controllers by a time of its own for each member."""
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed)
+        self.delays = random.Random(seed)
+
+    def get_controller(self, member: str, controller: Host) -> str:
+        """Return a proxy whose answers come up to 5 s late."""
+        address = super().get_controller(member, controller)
+        delay_ms = self.delays.uniform(0, MAXIMUM_UPDATE_DELAY_MS)
+        path = f"{member}>{controller.name}"
+        self.apply(path, delay_ms=delay_ms, delay_direction="backward")
+        return address
+
+    def get_balancer(self, balancer: Host) -> str:
+        """Leave packets as they are."""
+        return balancer.packet_address
+
+    def get_return(self, agent: str, return_address: str) -> str:
+        """Leave answers as they are."""
+        return return_address
+
+    def get_server(self, agent: str, server_address: str) -> str:
+        """Leave calls to backend servers as they are."""
+        return server_address
+
+    def get_announced(self, agent: Host) -> Host:
+        """Leave paths between agents as they are."""
+        return agent
+
+
+def load_example(name: str) -> DeploymentDescription:
+    """Return one of the two deployments under examples/."""
+    return load_description(EXAMPLES / name / "deployment.json")
+
+
+@contextlib.asynccontextmanager
+async def open_deployment(
+    description: DeploymentDescription, folder: Path, wiring: Wiring | None = None
+) -> AsyncIterator[Deployment]:
+    """Run a deployment; on a failure its logs are in `folder`."""
+    # The client library reports each late answer; outcomes are counted instead.
+    logging.getLogger("coap").setLevel(logging.CRITICAL)
+    try:
+        async with Deployment(description, folder, wiring) as deployment:
+            yield deployment
+    finally:
+        if isinstance(wiring, Detours):
+            wiring.close()
+
+
+def print_broken(records: Iterable[Record]) -> None:
+    """Print what broke, for the report of a failed proof."""
+    for record in filter(is_broken, records):
+        time = datetime.fromtimestamp(record.started, UTC).isoformat()
+        print(time, f"{record.latency_s:.2f} s", record)
+
+
+async def replace_endpoint(deployment: Deployment, agent: str) -> float:
+    """Start another endpoint, then take this one out as planned.
+
+    Returns the Unix time from which on the backend server may get no new work.
+    """
+    service = deployment.plan.endpoints[agent].service
+    await deployment.start_endpoint(service)
+    await deployment.set_behaviour(agent, draining=True)
+    no_work_from = asyncio.get_running_loop().time() + NEW_WORK_S
+    await asyncio.sleep(NEW_WORK_S)
+    process = deployment.get_process(agent)
+    process.terminate()
+    assert await process.wait_exit(EXIT_TIMEOUT_S) == 0
+    deployment.get_process(f"server-{agent}").terminate()
+    return no_work_from
--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,103 @@
+"""Failures under load: what callers see when processes die or packets are lost."""
+
+import asyncio
+import time
+from pathlib import Path
+
+import pytest
+
+from lentilfork.bench.crowd import Crowd
+from lentilfork.bench.deployment import Deployment
+from lentilfork.bench.detours import Detours
+from lentilfork.bench.outcomes import Outcome
+from lentilfork.bench.outcomes import Record
+from lentilfork.bench.verdict import judge_run
+from lentilfork.bench.workload import Kind
+from tests.deployments import SEED
+from tests.deployments import SMALL_CROWD
+from tests.deployments import load_example
+from tests.deployments import open_deployment
+from tests.deployments import print_broken
+
+PAUSES_S = {Kind.LOOKUP: 0.3, Kind.CHANGE: 0.3, Kind.DOWNLOAD: 0.3}
+SETTLE_S = 3.0
+# The fabric goes on sending to a dead balancer for this long.
+FABRIC_LAG_S = 1.0
+# New flows work elsewhere this long after the loss of an agent.
+RECOVERY_S = 3.0
+# An answer that took longer than this came to a copy of the request.
+FIRST_COPY_S = 2.0
+
+
+async def run_with_kill(
+    deployment: Deployment, *names: str
+) -> tuple[list[Record], float]:
+    """Kill processes under load; returns the records and the time of the kill."""
+    async with Crowd(deployment, SMALL_CROWD, PAUSES_S, SEED) as crowd:
+        await asyncio.sleep(SETTLE_S)
+        killed_at = time.time()
+        for name in names:
+            deployment.get_process(name).kill()
+        await asyncio.sleep(FABRIC_LAG_S)
+        for name in names:
+            if name in deployment.sprayed:
+                await deployment.spray(name, enabled=False)
+        await asyncio.sleep(RECOVERY_S + SETTLE_S)
+    print_broken(crowd.records)
+    return crowd.records, killed_at
+
+
+async def test_killed_balancer_breaks_no_flow(tmp_path: Path) -> None:
+    async with open_deployment(load_example("guild"), tmp_path) as deployment:
+        records, _ = await run_with_kill(deployment, "entry-1")
+        verdict = judge_run(records, deployment.list_runs())
+    assert verdict.good, verdict
+    assert verdict.sent > 200
+
+
+LOSSES = {
+    "agent": ("warnings-4",),
+    "backend server": ("server-warnings-4",),
+    "both": ("warnings-4", "server-warnings-4"),
+    "two hosts at once": ("warnings-4", "warnings-7", "server-warnings-4"),
+    "long flows' agent": ("artwork-3", "server-artwork-3"),
+}
+
+
+@pytest.mark.parametrize("loss", LOSSES)
+async def test_killed_endpoint_costs_only_what_ran_on_it(
+    loss: str, tmp_path: Path
+) -> None:
+    async with open_deployment(load_example("guild"), tmp_path) as deployment:
+        records, killed_at = await run_with_kill(deployment, *LOSSES[loss])
+        verdict = judge_run(records, deployment.list_runs())
+    assert (verdict.broken, verdict.wrong, verdict.doubled) == (0, 0, 0), verdict
+    later = [r for r in records if r.started > killed_at + RECOVERY_S]
+    assert len(later) > 100
+    assert {record.outcome for record in later} == {Outcome.COMPLETE}
+    slow = [
+        record
+        for record in later
+        if record.request.kind is not Kind.DOWNLOAD and record.latency_s > FIRST_COPY_S
+    ]
+    assert not slow
+
+
+@pytest.mark.parametrize("name", ["guild", "orchestra"])
+async def test_lost_doubled_and_late_packets_mislead_nobody(
+    name: str, tmp_path: Path
+) -> None:
+    wiring = Detours(SEED)
+    async with open_deployment(load_example(name), tmp_path, wiring) as deployment:
+        for pattern in ("fabric>entry-*", "[*]>*", "*>fabric"):
+            wiring.apply(pattern, drop=0.05, duplicate=0.02, reorder=0.3, reorder_ms=50)
+        for path, kind in wiring.proxies:
+            if kind == "tcp":
+                wiring.proxies[path, kind].apply({"drop": 0.0})
+        async with Crowd(deployment, SMALL_CROWD, PAUSES_S, SEED) as crowd:
+            await asyncio.sleep(20)
+        runs = deployment.list_runs()
+    verdict = judge_run(crowd.records, runs)
+    print(verdict)
+    assert verdict.sent > 500
+    assert (verdict.wrong, verdict.doubled) == (0, 0), verdict
