--- a/src/lentilfork/cli/command.py
+++ b/src/lentilfork/cli/command.py
@@ -15,6 +15,7 @@
 from result import Result
 
 from lentilfork.cli.client import ControllerClient
+from lentilfork.cli.connection import Connection
 from lentilfork.cli.connection import find_connection
 from lentilfork.errors import ExitCode
 from lentilfork.errors import Failure
@@ -58,9 +59,7 @@
 
     def handle(self) -> int:
         """Run the command; returns its exit code."""
-        connection = find_connection(
-            self.option("controllers"), self.option("settings"), os.environ
-        )
+        connection = self.find_connection()
         if isinstance(connection, Err):
             return self.report(connection.err_value)
         timeout = parse_number("timeout", self.option("timeout"), 1)
@@ -72,6 +71,19 @@
         except KeyboardInterrupt:
             return self.handle_interrupt()
 
+    def find_connection(self) -> Result[Connection, Failure]:
+        """Return how to reach the controllers."""
+        return find_connection(
+            self.option("controllers"),
+            self.option("settings"),
+            os.environ,
+            self.needs_controllers(),
+        )
+
+    def needs_controllers(self) -> bool:
+        """Return whether the command cannot do without controllers."""
+        return True
+
     async def run_and_close(self, client: ControllerClient) -> int:
         """Run the command and close the client in any case."""
         try:
--- a/src/lentilfork/cli/connection.py
+++ b/src/lentilfork/cli/connection.py
@@ -68,9 +68,15 @@
 
 
 def find_connection(
-    controllers: str | None, settings_file: str | None, environment: Mapping[str, str]
+    controllers: str | None,
+    settings_file: str | None,
+    environment: Mapping[str, str],
+    required: bool = True,
 ) -> Result[Connection, Failure]:
-    """Return how to reach the controllers; the options come first."""
+    """Return how to reach the controllers; the options come first.
+
+    Unless they are `required`, no controllers need be named.
+    """
     settings = ClientSettings.model_construct(controllers=(), tls=None)
     settings_file = settings_file or environment.get(SETTINGS_VARIABLE)
     if settings_file:
@@ -86,7 +92,7 @@
         if text:
             named = split_controllers(text, source)
             return named.map(lambda found: Connection(found, settings.tls))
-    if not settings.controllers:
+    if required and not settings.controllers:
         message = (
             f"none named; expected --controllers IP:PORT,..., {CONTROLLERS_VARIABLE} "
             "or --settings FILE"
--- a/src/lentilfork/cli/views.py
+++ b/src/lentilfork/cli/views.py
@@ -243,6 +243,10 @@
         self.print(format_json(json.loads(dump.ok_value)))
         return Ok(None)
 
+    def needs_controllers(self) -> bool:
+        """Return whether the process is given by name."""
+        return ":" not in self.argument("process")
+
     async def find_address(
         self, client: ControllerClient, process: str
     ) -> Result[str, Failure]:
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -181,6 +181,23 @@
     assert controllers[0].changes[0].use_preset == "peak"
 
 
+async def test_member_that_falls_silent_meanwhile_is_waited_for(
+    controllers: list[StandInController],
+) -> None:
+    controllers[0].answers = [make_accepted(12)]
+    controllers[0].statuses = [
+        make_status(12, one=("live", 11), two=("silent", 11)),
+        make_status(12, one=("silent", 11), two=("silent", 11)),
+    ]
+    finished = await run_command(
+        *("preset", "use", "peak", "--wait", "1"),
+        *("--controllers", controllers[0].address),
+    )
+    assert finished.code == ExitCode.LAGGING
+    assert "1 of 2 live members; waiting for one (at 11, busy)" in finished.errors
+    assert "silent: two" in finished.errors
+
+
 async def test_conflict_names_the_change_that_came_first(
     controllers: list[StandInController], service_file: str
 ) -> None:
@@ -343,6 +360,15 @@
     assert str(expected[0][1]) in plain.output
 
 
+async def test_process_is_dumped_by_address_without_controllers(
+    controllers: list[StandInController],
+) -> None:
+    finished = await run_command(
+        "dump", controllers[0].address, LENTILFORK_CONTROLLERS=""
+    )
+    assert json.loads(finished.output) == {"name": "standin"}
+
+
 async def test_unknown_names_are_refused_and_known_ones_listed(
     controllers: list[StandInController],
 ) -> None:
