--- a/src/lentilfork/membership/feed.py
+++ b/src/lentilfork/membership/feed.py
@@ -37,14 +37,19 @@
 __all__ = ["HEARTBEAT_MS", "Feed"]
 
 HEARTBEAT_MS: Final = 250
+# Between heartbeats in systems with more members than this, to spare controllers.
+LARGE_HEARTBEAT_MS: Final = 500
+LARGE_MEMBERS: Final = 256
 # A controller that has brought no acknowledgement for this long is left.
 PATIENCE_MS: Final = 1_000
 MAXIMUM_PATIENCE_MS: Final = 8_000
-# Without an acknowledgement for this long the standby is joined, and it is kept
-# for a while after the last time.
-LATE_MS: Final = 450
+# Added to two intervals of heartbeats: an acknowledgement that takes longer is late.
+LATE_MS: Final = 100
+# The standby is kept for this long after acknowledgements were last late.
 STANDBY_MS: Final = 30_000
+# Pause before the standby is joined; doubles while its streams end early.
 STANDBY_PAUSE_S: Final = 0.1
+MAXIMUM_STANDBY_PAUSE_S: Final = 6.4
 # Longest pause before the next attempt; the pause is drawn at random below it.
 # While the lease may still be saved, attempts follow each other closely.
 FIRST_BACKOFF_MS: Final = 50
@@ -199,17 +204,25 @@
 
     async def keep_standby(self) -> None:
         """Join a second controller while acknowledgements come late."""
+        pause_s = STANDBY_PAUSE_S
         while True:
-            await asyncio.sleep(self.draw_backoff_s() + STANDBY_PAUSE_S)
+            await asyncio.sleep(pause_s)
             others = sorted(self.list_controllers() - {self.target})
-            if self.is_late() and others:
-                self.counters.add("feed.standby_joined")
-                await self.join(self.generator.choice(others), self.is_late)
+            if not self.is_late() or not others:
+                continue
+            self.counters.add("feed.standby_joined")
+            joined_ms = read_clock_ms()
+            await self.join(self.generator.choice(others), self.is_late)
+            if read_clock_ms() - joined_ms > MAXIMUM_PATIENCE_MS:
+                pause_s = STANDBY_PAUSE_S
+            else:
+                pause_s = min(2 * pause_s, MAXIMUM_STANDBY_PAUSE_S)
 
     def is_late(self) -> bool:
         """Tell whether acknowledgements came late lately."""
         now_ms = read_clock_ms()
-        if now_ms - self.lease.acknowledged_ms > LATE_MS:
+        limit_ms = 2 * MS_PER_S * self.choose_interval_s() + LATE_MS
+        if now_ms - self.lease.acknowledged_ms > limit_ms:
             self.late_ms = now_ms
         return now_ms - self.late_ms < STANDBY_MS
 
@@ -281,7 +294,13 @@
             self.counters.add("control.bytes_out", amount=heartbeat.ByteSize())
             yield heartbeat
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.due.wait(), HEARTBEAT_MS / MS_PER_S)
+                await asyncio.wait_for(self.due.wait(), self.choose_interval_s())
+
+    def choose_interval_s(self) -> float:
+        """Return the time to the next heartbeat."""
+        members = len(self.received.agents) + len(self.received.balancers)
+        large = members > LARGE_MEMBERS
+        return (LARGE_HEARTBEAT_MS if large else HEARTBEAT_MS) / MS_PER_S
 
     def number_heartbeat(self, heartbeat: control_pb2.Heartbeat) -> None:
         """Fill in what differs from one heartbeat to the next."""
--- a/src/lentilfork/membership/sessions.py
+++ b/src/lentilfork/membership/sessions.py
@@ -25,6 +25,8 @@
 # A message of n bytes is followed by a pause of n / this rate, below the limit.
 PACE_BYTES_PER_S: Final = 10_000
 MAXIMUM_PAUSE_S: Final = 0.5
+# A generation that follows another closely waits for this long for each member.
+PAUSE_PER_SESSION_S: Final = 0.0005
 BITS: Final = 8
 
 
@@ -199,7 +201,14 @@
             size = update.ByteSize()
             self.counters.add("control.bytes_out", amount=size)
             await context.write(update)
-            await asyncio.sleep(min(size / PACE_BYTES_PER_S, MAXIMUM_PAUSE_S))
+            await asyncio.sleep(self.choose_pause_s(update, size))
+
+    def choose_pause_s(self, update: control_pb2.Update, size: int) -> float:
+        """Return the time for which further changes are gathered after an update."""
+        pause_s = size / PACE_BYTES_PER_S
+        if update.WhichOneof("body"):
+            pause_s = max(pause_s, len(self.sessions) * PAUSE_PER_SESSION_S)
+        return min(pause_s, MAXIMUM_PAUSE_S)
 
     def list_changed(self) -> Iterator[Session]:
         """Return sessions with a full heartbeat the leader has not got."""
