Prove agreement with real processes, and bound the cost of a change

Real controllers go through 300 changes while they are killed, one is cut off by proxies and one comes back with an empty folder; the history is the same on all and no process showed a lower generation.

Trials with broken code showed that syncing before confirming and comparing logs before voting were not covered; tests in which all crash at once and in which a replica lags now cover them.

--- a/src/lentilfork/agreement/core.py
+++ b/src/lentilfork/agreement/core.py
@@ -11,9 +11,11 @@
 import asyncio
 import time
 from collections.abc import Callable
+from collections.abc import Coroutine
 from enum import Enum
 from enum import unique
 from random import Random
+from typing import Any
 from typing import Final
 
 from lentilfork.agreement.log import Log
@@ -30,7 +32,13 @@
 from lentilfork.state import apply_change
 from lentilfork.state.model import ClusterState
 
-__all__ = ["ELECTION_TIMEOUT_MAX_S", "ELECTION_TIMEOUT_MIN_S", "Core", "Role"]
+__all__ = [
+    "ELECTION_TIMEOUT_MAX_S",
+    "ELECTION_TIMEOUT_MIN_S",
+    "Core",
+    "Role",
+    "run_task",
+]
 
 ELECTION_TIMEOUT_MIN_S: Final = 0.7
 ELECTION_TIMEOUT_MAX_S: Final = 1.3
@@ -55,6 +63,19 @@
     return time.time_ns() // 1_000_000
 
 
+def run_task(work: Coroutine[Any, Any, None], name: str) -> asyncio.Task[None]:
+    """Start a task; one that ends by an error is logged."""
+    task = asyncio.create_task(work, name=name)
+    task.add_done_callback(report_failed_task)
+    return task
+
+
+def report_failed_task(task: asyncio.Task[None]) -> None:
+    """Log the error by which a task ended."""
+    if not task.cancelled() and task.exception() is not None:
+        log.critical("task failed", task=task.get_name(), error=repr(task.exception()))
+
+
 class Core:
     """The shared part of one replica."""
 
--- a/src/lentilfork/agreement/leadership.py
+++ b/src/lentilfork/agreement/leadership.py
@@ -15,6 +15,7 @@
 from lentilfork.agreement.core import Core
 from lentilfork.agreement.core import Role
 from lentilfork.agreement.core import log
+from lentilfork.agreement.core import run_task
 from lentilfork.agreement.storage import StorageError
 from lentilfork.agreement.transport import TransportError
 from lentilfork.agreement.voters import find_majority_index
@@ -93,8 +94,8 @@
         self.core.append([opening])
         self.update_peers()
         self.tasks = [
-            asyncio.create_task(self.watch_syncs(), name="watch syncs"),
-            asyncio.create_task(self.watch_quorum(), name="watch quorum"),
+            run_task(self.watch_syncs(), "watch syncs"),
+            run_task(self.watch_quorum(), "watch quorum"),
         ]
 
     def cancel(self) -> list[asyncio.Task[None]]:
@@ -167,9 +168,7 @@
             next_index = self.core.log.last_index + 1
             peer = Peer(controller, next_index, self.core.get_time_s())
             self.peers[name] = peer
-            peer.task = asyncio.create_task(
-                self.replicate(peer), name=f"replicate {name}"
-            )
+            peer.task = run_task(self.replicate(peer), f"replicate {name}")
 
     def is_counted(self, peer: Peer) -> bool:
         """Tell whether a peer answered with the folder it was admitted with."""
--- a/src/lentilfork/agreement/replica.py
+++ b/src/lentilfork/agreement/replica.py
@@ -6,9 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Coroutine
 from random import Random
-from typing import Any
 from typing import Final
 
 from result import Err
@@ -20,6 +18,7 @@
 from lentilfork.agreement.core import Role
 from lentilfork.agreement.core import StateListener
 from lentilfork.agreement.core import log
+from lentilfork.agreement.core import run_task
 from lentilfork.agreement.election import Election
 from lentilfork.agreement.files import Files
 from lentilfork.agreement.files import OsFiles
@@ -157,22 +156,14 @@
         core.leader_heard_s = core.get_time_s()
         self.running = True
         self.tasks = [
-            self.run_task(core.log.write_entries(), "write log"),
-            self.run_task(self.election.run(), "elections"),
-            self.run_task(self.joining.run(), "joining"),
-            self.run_task(self.compact_log(), "compaction"),
-            self.run_task(self.recover_disk(), "disk recovery"),
+            run_task(core.log.write_entries(), "write log"),
+            run_task(self.election.run(), "elections"),
+            run_task(self.joining.run(), "joining"),
+            run_task(self.compact_log(), "compaction"),
+            run_task(self.recover_disk(), "disk recovery"),
         ]
         return Ok(None)
 
-    def run_task(
-        self, work: Coroutine[Any, Any, None], name: str
-    ) -> asyncio.Task[None]:
-        """Start a task; one that ends by an error is logged."""
-        task = asyncio.create_task(work, name=name)
-        task.add_done_callback(report_failed_task)
-        return task
-
     def load(self, stored: StoredLog) -> Result[None, Failure]:
         """Take over what the data folder holds."""
         core = self.core
@@ -236,6 +227,8 @@
         if leadership is None:
             return
         leadership.leaving = True
+        if not leadership.peers:
+            return
         deadline_s = self.core.get_time_s() + TRANSFER_TIMEOUT_S
         while leadership.is_current and self.core.get_time_s() < deadline_s:
             leadership.call_successor()
@@ -341,9 +334,3 @@
             },
             "peers": leadership.dump_peers() if leadership else {},
         }
-
-
-def report_failed_task(task: asyncio.Task[None]) -> None:
-    """Log the error by which a task ended."""
-    if not task.cancelled() and task.exception() is not None:
-        log.critical("task failed", task=task.get_name(), error=repr(task.exception()))
--- a/src/lentilfork/state/changes.py
+++ b/src/lentilfork/state/changes.py
@@ -342,13 +342,8 @@
         summary=describe_change(change),
         subject=get_subject(change),
     )
-    history = (*state.history, entry)
-    excess = max(len(history) - HISTORY_KEPT, 0)
-    return replace(
-        state,
-        history=history[excess:],
-        history_dropped=state.history_dropped + excess,
-    )
+    entries = state.entries.add(entry.generation, entry, HISTORY_KEPT)
+    return replace(state, entries=entries)
 
 
 def remember_result(
@@ -358,10 +353,14 @@
     if not change.change_id:
         return state
     if change.operator:
-        results = state.operator_results | {change.change_id: result}
-        return replace(state, operator_results=bound(results, OPERATOR_RESULTS_KEPT))
-    results = state.system_results | {change.change_id: result}
-    return replace(state, system_results=bound(results, SYSTEM_RESULTS_KEPT))
+        operator_results = state.operator_results.add(
+            change.change_id, result, OPERATOR_RESULTS_KEPT
+        )
+        return replace(state, operator_results=operator_results)
+    system_results = state.system_results.add(
+        change.change_id, result, SYSTEM_RESULTS_KEPT
+    )
+    return replace(state, system_results=system_results)
 
 
 def decide(
--- /dev/null
+++ b/src/lentilfork/state/ledger.py
@@ -0,0 +1,71 @@
+"""A bounded, append-only map that costs little to extend without changing it.
+
+Extending copies the last chunk alone; the chunks before it are shared. Whole
+chunks are dropped from the front, so the oldest item kept is always the first of
+a chunk, and a ledger rebuilt from its items has the same chunks: replicas restored
+from a snapshot drop the same items at the same time as the others.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+from dataclasses import dataclass
+from itertools import chain
+from typing import Final
+from typing import Generic
+from typing import TypeVar
+
+__all__ = ["CHUNK_ITEMS", "Ledger"]
+
+CHUNK_ITEMS: Final = 128
+
+K = TypeVar("K")
+V = TypeVar("V")
+
+
+@dataclass(frozen=True, slots=True)
+class Ledger(Generic[K, V]):
+    """Items by key in the order in which they were added."""
+
+    # All are full but the last.
+    chunks: tuple[dict[K, V], ...] = ()
+    # Number of items that are no longer kept.
+    dropped: int = 0
+
+    @classmethod
+    def restore(cls, items: Iterable[tuple[K, V]], dropped: int = 0) -> "Ledger[K, V]":
+        """Return a ledger of all items, which may have been one before."""
+        pending = list(items)
+        starts = range(0, len(pending), CHUNK_ITEMS)
+        chunks = (dict(pending[start : start + CHUNK_ITEMS]) for start in starts)
+        return cls(tuple(chunks), dropped)
+
+    def __len__(self) -> int:
+        """Return the number of items kept."""
+        if not self.chunks:
+            return 0
+        return (len(self.chunks) - 1) * CHUNK_ITEMS + len(self.chunks[-1])
+
+    def get(self, key: K) -> V | None:
+        """Return the item of a key, None if it is not kept."""
+        holding = (chunk[key] for chunk in self.chunks if key in chunk)
+        return next(holding, None)
+
+    def get_items(self) -> Iterator[V]:
+        """Return the items, oldest first."""
+        return chain.from_iterable(chunk.values() for chunk in self.chunks)
+
+    def get_latest(self) -> Iterator[V]:
+        """Return the items, latest first."""
+        return chain.from_iterable(
+            reversed(chunk.values()) for chunk in reversed(self.chunks)
+        )
+
+    def add(self, key: K, item: V, limit: int) -> "Ledger[K, V]":
+        """Return a ledger with one more item, `limit` of the latest ones at least."""
+        if self.chunks and len(self.chunks[-1]) < CHUNK_ITEMS:
+            chunks = (*self.chunks[:-1], self.chunks[-1] | {key: item})
+        else:
+            chunks = (*self.chunks, {key: item})
+        if len(self) + 1 - CHUNK_ITEMS < limit:
+            return Ledger(chunks, self.dropped)
+        return Ledger(chunks[1:], self.dropped + CHUNK_ITEMS)
--- a/src/lentilfork/state/replicated.py
+++ b/src/lentilfork/state/replicated.py
@@ -6,7 +6,6 @@
 controller leads, after restarts and after compaction.
 """
 
-from collections.abc import Iterator
 from dataclasses import dataclass
 from dataclasses import field
 from itertools import islice
@@ -14,6 +13,7 @@
 from typing import TypeVar
 
 from lentilfork.schema import state_pb2
+from lentilfork.state.ledger import Ledger
 from lentilfork.state.model import ClusterState
 
 __all__ = [
@@ -39,28 +39,35 @@
     cluster: ClusterState = field(default_factory=ClusterState)
     # First answers by change id, oldest first: of operators' changes and of the
     # system's own, bounded apart so that the latter never push out the former.
-    operator_results: dict[str, state_pb2.ChangeResult] = field(default_factory=dict)
-    system_results: dict[str, state_pb2.ChangeResult] = field(default_factory=dict)
-    # Operators' accepted changes, oldest first.
-    history: tuple[state_pb2.HistoryEntry, ...] = ()
-    # Number of entries before those kept.
-    history_dropped: int = 0
+    operator_results: Ledger[str, state_pb2.ChangeResult] = field(
+        default_factory=Ledger
+    )
+    system_results: Ledger[str, state_pb2.ChangeResult] = field(default_factory=Ledger)
+    # Operators' accepted changes by generation.
+    entries: Ledger[int, state_pb2.HistoryEntry] = field(default_factory=Ledger)
     next_service_id: int = 1
     # For each agent name the incarnations accepted, oldest first.
     incarnations: dict[str, tuple[int, ...]] = field(default_factory=dict)
 
+    @property
+    def history(self) -> tuple[state_pb2.HistoryEntry, ...]:
+        """Operators' accepted changes that are kept, oldest first."""
+        return tuple(self.entries.get_items())
+
+    @property
+    def history_dropped(self) -> int:
+        """Number of operators' accepted changes before those kept."""
+        return self.entries.dropped
+
     def find_result(self, change_id: str) -> state_pb2.ChangeResult | None:
         """Return the first answer to a change, None if it is not known."""
-        if change_id in self.operator_results:
-            return self.operator_results[change_id]
-        return self.system_results.get(change_id)
+        result = self.operator_results.get(change_id)
+        return result or self.system_results.get(change_id)
 
     def find_last_entry(self, subject: str) -> state_pb2.HistoryEntry | None:
         """Return the last accepted change of a subject among those kept."""
-        matching: Iterator[state_pb2.HistoryEntry] = (
-            entry for entry in reversed(self.history) if entry.subject == subject
-        )
-        return next(matching, None)
+        latest = self.entries.get_latest()
+        return next((entry for entry in latest if entry.subject == subject), None)
 
 
 def bound(items: dict[K, V], limit: int) -> dict[K, V]:
--- a/src/lentilfork/state/snapshots.py
+++ b/src/lentilfork/state/snapshots.py
@@ -23,6 +23,7 @@
 from lentilfork.state.codec import encode_controller
 from lentilfork.state.codec import encode_preset
 from lentilfork.state.codec import encode_service
+from lentilfork.state.ledger import Ledger
 from lentilfork.state.model import ClusterState
 from lentilfork.state.replicated import ReplicatedState
 
@@ -72,10 +73,10 @@
 def encode_replicated(state: ReplicatedState) -> state_pb2.Snapshot:
     """Return the message of everything controllers replicate."""
     message = encode_snapshot(state.cluster)
-    message.results.extend(state.operator_results.values())
-    message.system_results.extend(state.system_results.values())
-    message.history.extend(state.history)
-    message.history_dropped = state.history_dropped
+    message.results.extend(state.operator_results.get_items())
+    message.system_results.extend(state.system_results.get_items())
+    message.history.extend(state.entries.get_items())
+    message.history_dropped = state.entries.dropped
     message.next_service_id = state.next_service_id
     message.incarnations.extend(
         state_pb2.KnownIncarnations(agent=name, incarnations=known)
@@ -88,10 +89,16 @@
     """Return everything controllers replicate."""
     return ReplicatedState(
         cluster=decode_snapshot(message),
-        operator_results={result.change_id: result for result in message.results},
-        system_results={result.change_id: result for result in message.system_results},
-        history=tuple(message.history),
-        history_dropped=message.history_dropped,
+        operator_results=Ledger.restore(
+            (result.change_id, result) for result in message.results
+        ),
+        system_results=Ledger.restore(
+            (result.change_id, result) for result in message.system_results
+        ),
+        entries=Ledger.restore(
+            ((entry.generation, entry) for entry in message.history),
+            message.history_dropped,
+        ),
         next_service_id=message.next_service_id,
         incarnations={
             known.agent: tuple(known.incarnations) for known in message.incarnations
--- a/tests/agreement/fakes.py
+++ b/tests/agreement/fakes.py
@@ -180,6 +180,8 @@
         # Ordered pairs of addresses between which nothing passes.
         self.cuts: set[tuple[str, str]] = set()
         self.loss = 0.0
+        # Methods that are never answered.
+        self.refused_methods: set[str] = set()
 
     def cut(self, address: str) -> None:
         """Cut one replica off from all others, silently."""
@@ -248,6 +250,8 @@
         self, name: str, address: str, request: Any, timeout_s: float
     ) -> Any:
         """Call a method of the peer's servicer with a copy of the request."""
+        if name in self.network.refused_methods:
+            raise TransportError("refused")
         return duplicate(
             await self.network.call(
                 self.source,
--- /dev/null
+++ b/tests/agreement/test_processes.py
@@ -0,0 +1,305 @@
+"""Controllers as real processes: killed, partitioned, replaced, on real disks."""
+
+import asyncio
+import contextlib
+import json
+import shutil
+from collections.abc import AsyncIterator
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import grpc.aio
+import pytest
+
+from lentilfork.bench.addresses import AddressBlock
+from lentilfork.bench.processes import Process
+from lentilfork.bench.processes import ProcessGroup
+from lentilfork.bench.proxy import PathConfig
+from lentilfork.bench.proxy import Proxy
+from lentilfork.bench.proxy import open_proxy
+from lentilfork.channels import Channels
+from lentilfork.schema import admin_pb2
+from lentilfork.schema import admin_pb2_grpc
+from lentilfork.schema import state_pb2
+
+NAMES = ("control-0", "control-1", "control-2")
+CHANGES = 300
+SEED = 6
+LIMIT_S = 40.0
+
+
+class Controllers:
+    """Three controller daemons with a proxy on each path between two of them."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.block = AddressBlock()
+        self.group = ProcessGroup(folder)
+        self.channels = Channels()
+        self.addresses = {name: self.block.take_address(7000) for name in NAMES}
+        # By the two ends.
+        self.proxies: dict[tuple[str, str], Proxy] = {}
+        # Generations each process showed, in order, for each of its lives.
+        self.generations: dict[tuple[str, int], list[int]] = {}
+
+    def start_all(self) -> None:
+        """Open the proxies and start all daemons."""
+        for source in NAMES:
+            for target in NAMES:
+                if source != target:
+                    self.open_path(source, target)
+        for name in NAMES:
+            path = self.folder / f"{name}.json"
+            path.write_text(json.dumps(self.make_settings(name)), encoding="utf-8")
+            arguments = ("-m", "lentilfork.daemon", "--settings", str(path))
+            self.group.add(name, *arguments).start()
+
+    def open_path(self, source: str, target: str) -> None:
+        """Open the proxy by which one controller reaches another."""
+        config = PathConfig(
+            name=f"{source}>{target}",
+            kind="tcp",
+            listen=self.block.take_address(7000),
+            target=self.addresses[target],
+        )
+        self.proxies[source, target] = open_proxy(config, SEED)
+
+    def make_settings(self, name: str) -> dict[str, object]:
+        """Return the settings of one daemon."""
+        peers = [
+            {"name": other, "address": address}
+            | (
+                {"via": self.proxies[name, other].config.listen}
+                if other != name
+                else {}
+            )
+            for other, address in self.addresses.items()
+        ]
+        return {
+            "role": "controller",
+            "name": name,
+            "data_centre": "kandy-a",
+            "control_address": self.addresses[name],
+            "data_folder": str(self.get_folder(name)),
+            "controllers": peers,
+        }
+
+    def get_folder(self, name: str) -> Path:
+        """Return the data folder of a controller."""
+        return self.folder / f"data-{name}"
+
+    def get_process(self, name: str) -> Process:
+        """Return the process of a controller."""
+        return self.group.processes[name]
+
+    def cut(self, name: str, cut: str) -> None:
+        """Cut a controller off from the others, silently, or heal it: "none"."""
+        for ends, proxy in self.proxies.items():
+            if name in ends:
+                proxy.apply({"cut": cut})
+
+    def get_stub(self, name: str) -> Any:
+        """Return the administration stub of a controller."""
+        return admin_pb2_grpc.AdministrationStub(
+            self.channels.get(self.addresses[name])
+        )
+
+    async def dump(self, name: str) -> dict[str, Any]:
+        """Return what a controller tells of its agreement; empty if it is down."""
+        stub: Any = admin_pb2_grpc.InspectionStub(
+            self.channels.get(self.addresses[name])
+        )
+        try:
+            reply = await stub.Dump(admin_pb2.DumpRequest(), timeout=1.0)
+        except grpc.aio.AioRpcError:
+            return {}
+        document: dict[str, Any] = json.loads(reply.json)
+        agreement: dict[str, Any] = document["agreement"]
+        return agreement
+
+    async def watch(self, name: str) -> None:
+        """Note the generations that a process shows."""
+        while True:
+            pid = self.get_process(name).pid
+            dump = await self.dump(name)
+            if dump and pid == self.get_process(name).pid:
+                shown = self.generations.setdefault((name, pid), [])
+                shown.append(dump["generation"])
+            await asyncio.sleep(0.05)
+
+    async def submit(self, name: str, change: state_pb2.Change) -> Any:
+        """Submit a change once; None without an answer."""
+        try:
+            return await self.get_stub(name).Submit(change, timeout=5.0)
+        except grpc.aio.AioRpcError:
+            return None
+
+    async def accept(self, change: state_pb2.Change) -> state_pb2.ChangeResult:
+        """Resend a change to one controller after the other until it is answered."""
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + LIMIT_S
+        while loop.time() < deadline_s:
+            for name in NAMES:
+                reply = await self.submit(name, change)
+                if reply is not None and reply.HasField("result"):
+                    result: state_pb2.ChangeResult = reply.result
+                    return result
+            await asyncio.sleep(0.05)
+        raise AssertionError(f"{change.change_id} was not answered in {LIMIT_S} s")
+
+    async def wait_voters(self) -> list[dict[str, Any]]:
+        """Wait until all vote and hold the same; returns their dumps."""
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + LIMIT_S
+        dumps: list[dict[str, Any]] = []
+        while loop.time() < deadline_s:
+            dumps = [await self.dump(name) for name in NAMES]
+            applied = {dump.get("applied_index", -1) for dump in dumps}
+            if all(dump.get("voter") for dump in dumps) and len(applied) == 1:
+                return dumps
+            await asyncio.sleep(0.1)
+        raise AssertionError(f"not settled in {LIMIT_S} s: {dumps}")
+
+
+@contextlib.asynccontextmanager
+async def run_controllers(folder: Path) -> AsyncIterator[Controllers]:
+    """Run three controllers until all vote; kills them at the end."""
+    controllers = Controllers(folder)
+    try:
+        controllers.start_all()
+        await controllers.wait_voters()
+        yield controllers
+    finally:
+        controllers.group.close()
+        await controllers.channels.close()
+        for proxy in controllers.proxies.values():
+            proxy.close()
+        controllers.block.close()
+
+
+async def kill_at_random(controllers: Controllers, random: Random) -> None:
+    """Kill one controller after the other, each while the others are up."""
+    while True:
+        await asyncio.sleep(random.uniform(0.3, 1.0))
+        process = controllers.get_process(random.choice(NAMES))
+        process.kill()
+        await asyncio.sleep(random.uniform(0.0, 0.5))
+        process.start()
+        # Two of three down at once is a pause, not a fault to survive.
+        await controllers.wait_voters()
+
+
+def make_change(number: int) -> state_pb2.Change:
+    """Return one of the operator's changes."""
+    service = state_pb2.Service(
+        name=f"service-{number % 7}",
+        address=f"10.9.0.{number % 7 + 1}",
+        port=5683,
+        deadline_ms=number + 1,
+    )
+    return state_pb2.Change(
+        change_id=f"change-{number}", operator="ana", apply_service=service
+    )
+
+
+async def disturb(controllers: Controllers, done: list[int], random: Random) -> None:
+    """Kill at random; meanwhile partition one controller and replace another."""
+    while len(done) < CHANGES // 3:
+        await asyncio.sleep(0.05)
+    controllers.cut("control-1", "both")
+    await asyncio.sleep(4.0)
+    controllers.cut("control-1", "none")
+    await controllers.wait_voters()
+    while len(done) < 2 * CHANGES // 3:
+        await asyncio.sleep(0.05)
+    replaced = controllers.get_process("control-2")
+    replaced.kill()
+    shutil.rmtree(controllers.get_folder("control-2"))
+    replaced.start()
+    await controllers.wait_voters()
+    await kill_at_random(controllers, random)
+
+
+@pytest.mark.timeout(240)
+async def test_300_changes_through_kills_a_partition_and_a_replacement(
+    tmp_path: Path,
+) -> None:
+    async with run_controllers(tmp_path) as controllers:
+        random = Random(SEED)
+        done: list[int] = []
+        killer = asyncio.create_task(kill_at_random(controllers, random))
+        watchers = [asyncio.create_task(controllers.watch(name)) for name in NAMES]
+        disturber: asyncio.Task[None] | None = None
+        for number in range(CHANGES):
+            if number == CHANGES // 3 - 20:
+                killer.cancel()
+                await asyncio.gather(killer, return_exceptions=True)
+                if not controllers.get_process("control-0").alive:
+                    controllers.get_process("control-0").start()
+                for name in NAMES:
+                    if not controllers.get_process(name).alive:
+                        controllers.get_process(name).start()
+                disturber = asyncio.create_task(disturb(controllers, done, random))
+            result = await controllers.accept(make_change(number))
+            assert result.outcome == state_pb2.ACCEPTED
+            done.append(result.generation)
+        assert disturber is not None
+        assert not disturber.done(), "the faults ended early"
+        for task in (disturber, *watchers):
+            task.cancel()
+        await asyncio.gather(disturber, *watchers, return_exceptions=True)
+        for name in NAMES:
+            if not controllers.get_process(name).alive:
+                controllers.get_process(name).start()
+        await controllers.wait_voters()
+        assert done == sorted(set(done))
+        expected = [(f"change-{number}", done[number]) for number in range(CHANGES)]
+        for name in NAMES:
+            reply = await controllers.get_stub(name).GetHistory(
+                admin_pb2.GetHistoryRequest(), timeout=5.0
+            )
+            held = [(entry.change_id, entry.generation) for entry in reply.entries]
+            assert held == expected, f"{name} holds another history"
+        for shown in controllers.generations.values():
+            assert shown == sorted(shown)
+
+
+async def test_cut_off_leader_refuses_within_5_s_and_takes_nothing_back(
+    tmp_path: Path,
+) -> None:
+    async with run_controllers(tmp_path) as controllers:
+        await controllers.accept(make_change(0))
+        leader = (await controllers.dump(NAMES[0]))["leader"]
+        other = next(name for name in NAMES if name != leader)
+        controllers.cut(leader, "both")
+        reply = await controllers.submit(leader, make_change(1))
+        assert reply is not None, "no answer within 5 s"
+        assert reply.outcome_unknown or reply.refused
+        reply = None
+        while reply is None or not reply.HasField("result"):
+            reply = await controllers.submit(other, make_change(2))
+        held = (await controllers.dump(leader))["generation"]
+        assert held < reply.result.generation
+        controllers.cut(leader, "none")
+        dumps = await controllers.wait_voters()
+        assert min(dump["generation"] for dump in dumps) >= reply.result.generation
+
+
+async def test_leader_killed_to_first_accepted_change_within_3_s(
+    tmp_path: Path,
+) -> None:
+    async with run_controllers(tmp_path) as controllers:
+        loop = asyncio.get_running_loop()
+        for number in range(5):
+            leader = (await controllers.dump(NAMES[0]))["leader"]
+            process = controllers.get_process(leader)
+            process.kill()
+            started_s = loop.time()
+            result = await controllers.accept(make_change(number))
+            waited_s = loop.time() - started_s
+            assert result.outcome == state_pb2.ACCEPTED
+            assert waited_s <= 3.0
+            print(f"leader loss to first accepted change: {waited_s:.2f} s")
+            process.start()
+            await controllers.wait_voters()
--- a/tests/agreement/test_replicas.py
+++ b/tests/agreement/test_replicas.py
@@ -50,6 +50,42 @@
         cluster.settle()
 
 
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize("missing", ["c0", "c1", "c2"])
+def test_any_two_hold_what_was_accepted_when_all_crash(missing: str, seed: int) -> None:
+    cluster = Cluster(3, seed)
+    cluster.start_all()
+    leader = cluster.get_leader().core.name
+    # Syncs take long, so all crash while the slowest one is still under way.
+    for disk in cluster.disks.values():
+        disk.sync_s = 0.05
+    task = cluster.propose(leader, make_change(1))
+    while not task.done():
+        cluster.run(0.001)
+    for name in list(cluster.replicas):
+        cluster.crash(name)
+    for name in cluster.addresses:
+        if name != missing:
+            cluster.start(name)
+    history = cluster.get_leader().state.history
+    assert [entry.change_id for entry in history] == ["change-1"]
+    cluster.close()
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_replica_that_lags_is_not_elected(seed: int) -> None:
+    cluster = Cluster(3, seed)
+    cluster.start_all()
+    leader, (lagging, other) = split(cluster)
+    cluster.network.cut(cluster.addresses[lagging])
+    accept(cluster, leader, 1)
+    cluster.crash(leader)
+    cluster.network.heal()
+    assert cluster.get_leader().core.name == other
+    cluster.settle()
+    cluster.close()
+
+
 def test_cut_off_leader_accepts_nothing_and_takes_nothing_back(
     cluster: Cluster,
 ) -> None:
@@ -132,6 +168,21 @@
     }
 
 
+def test_empty_disk_does_not_count_towards_a_majority(cluster: Cluster) -> None:
+    leader, (witness, lost) = split(cluster)
+    cluster.network.refused_methods.add("Join")
+    cluster.crash(witness)
+    cluster.crash(lost)
+    cluster.disks[lost].restore({})
+    cluster.start(lost)
+    replica = cluster.replicas[leader]
+    answer = cluster.loop.run_until_complete(replica.propose(make_change(1)))
+    assert isinstance(answer, Err)
+    assert cluster.replicas[lost].core.log.last_index >= 1, "it holds what it was sent"
+    cluster.network.refused_methods.clear()
+    cluster.settle()
+
+
 def test_second_host_lost_right_after_repair_loses_nothing(cluster: Cluster) -> None:
     leader, (kept, lost) = split(cluster)
     accept(cluster, leader, 1)
