Prove the operator command against real controllers

Two operators with equal versions: one wins, the other is told who. A frozen balancer is named until it follows. Without a majority nothing is reported done, and the same change id is accepted once when the majority is back.

--- /dev/null
+++ b/tests/cli/test_real_controllers.py
@@ -0,0 +1,111 @@
+"""The operator command against a running system of real processes."""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+
+from lentilfork.bench.deployment import Deployment
+from lentilfork.errors import ExitCode
+from tests.cli.standin import Finished
+from tests.cli.standin import run_command
+from tests.deployments import load_example
+from tests.deployments import open_deployment
+
+# Long enough for a machine that is busy with other tests.
+WAIT_S = "30"
+
+
+@pytest.fixture
+async def deployment(tmp_path: Path) -> AsyncIterator[Deployment]:
+    """Run three controllers, a balancer and one endpoint."""
+    example = load_example("guild")
+    service = example.services[0].model_copy(update={"endpoints": 1})
+    small = example.model_copy(update={"balancers": 1, "services": (service,)})
+    async with open_deployment(small, tmp_path) as running:
+        yield running
+
+
+async def run(deployment: Deployment, *arguments: str, first: int = 0) -> Finished:
+    """Run a command that asks the controllers from the `first` one on."""
+    hosts = list(deployment.plan.controllers.values())
+    addresses = [host.control_address for host in (*hosts[first:], *hosts[:first])]
+    return await run_command(*arguments, LENTILFORK_CONTROLLERS=",".join(addresses))
+
+
+async def find_preset_version(deployment: Deployment, name: str) -> int:
+    listed = await run(deployment, "preset", "list", "--json")
+    return next(
+        int(preset["version"])
+        for preset in json.loads(listed.output)
+        if preset["name"] == name
+    )
+
+
+async def test_one_of_two_operators_with_equal_versions_wins(
+    deployment: Deployment,
+) -> None:
+    version = await find_preset_version(deployment, "peak")
+    limits = {"queue_per_slot": 3, "queue_time_ms": 500, "retry_budget_percent": 5}
+    times = {"drain_ms": 1000, "cold_start_ms": 0}
+    preset = {"name": "peak", **limits, **times}
+    path = deployment.write_file("race.json", preset)
+    command = ("preset", "apply", path, "--expect", str(version))
+    ends = await asyncio.gather(
+        run(deployment, *command, "--operator", "ama", "--change-id", "race-a"),
+        run(deployment, *command, "--operator", "nimal", "--change-id", "race-b"),
+    )
+    assert sorted(end.code for end in ends) == [ExitCode.OK, ExitCode.REFUSED]
+    (winner, loser) = sorted(ends, key=lambda end: end.code)
+    name, change = ("ama", "a") if winner is ends[0] else ("nimal", "b")
+    assert f"by {name} came first" in loser.errors
+    assert f"change id race-{change}" in loser.errors
+    again = await run(deployment, *command, "--change-id", f"race-{change}", first=1)
+    assert again.output == winner.output
+
+
+async def test_member_that_does_not_follow_is_named_until_it_does(
+    deployment: Deployment,
+) -> None:
+    use = ("preset", "use", "peak", "--change-id", "use-1", "--wait")
+    balancer = deployment.get_process("entry-1")
+    balancer.freeze()
+    try:
+        waited = await run(deployment, *use, "4")
+    finally:
+        balancer.thaw()
+    assert waited.code == ExitCode.LAGGING, waited.errors
+    assert "waiting for entry-1 (at" in waited.errors.splitlines()[-1]
+    again = await run(deployment, *use, WAIT_S)
+    assert again.code == ExitCode.OK, again.errors
+    assert again.output == waited.output
+    dump = json.loads((await run(deployment, "dump", "entry-1")).output)
+    (version,) = [
+        entry["generation"]
+        for entry in json.loads((await run(deployment, "history", "--json")).output)
+        if entry["change_id"] == "use-1"
+    ]
+    assert dump["feed"]["generation"] >= version
+
+
+async def test_loss_of_the_majority_is_told_and_no_change_reported_done(
+    deployment: Deployment,
+) -> None:
+    use = ("preset", "use", "peak", "--change-id", "use-2")
+    lost = [deployment.get_process(f"control-{number}") for number in (1, 2)]
+    for process in lost:
+        process.kill()
+    async with asyncio.timeout(60):
+        while "leader: none known" not in (await run(deployment, "status")).output:
+            await asyncio.sleep(0.1)
+    refused = await run(deployment, *use, "--timeout", "2")
+    assert refused.code in {ExitCode.REFUSED, ExitCode.UNKNOWN}
+    services = await run(deployment, "service", "list")
+    assert services.code == ExitCode.OK
+    assert "may be out of date" in services.errors
+    for process in lost:
+        process.start()
+    accepted = await run(deployment, *use, "--timeout", WAIT_S, "--wait", WAIT_S)
+    assert accepted.code == ExitCode.OK, accepted.errors
