Give up a claim shard only when its quorum is lost

Cause: random schedules of voters, clients and planner found a stable shard with voters missing, but not yet past their lease, taken for one that stands still; the planner then raised ValueError, or would have started the shard without records. Change: a shard without a change under way is given up only when its voters can form no majority any more.

--- a/src/lentilfork/claims/plan.py
+++ b/src/lentilfork/claims/plan.py
@@ -163,19 +163,23 @@
 
     def can_give_up(self, shard: ClaimShard) -> bool:
         """Tell whether a shard can't go on and no claim of it can matter any more."""
-        before_lost = self.has_lost_quorum(shard.previous)
-        if self.has_lost_quorum(shard.voters):
-            # The epoch before must be sealed by the next one, or be at its end.
-            stands_still = before_lost or self.has_quorum(shard.previous)
-        else:
-            possible = self.count_possible_votes(shard)
-            stands_still = before_lost and possible < compute_majority(shard.voters)
-        if not stands_still:
+        if not self.stands_still(shard):
             return False
         ended = filter(self.has_ended, (*shard.voters, *shard.previous))
         last_vote_ms = max(map(self.find_end, ended))
         return self.now_ms - last_vote_ms >= RECORD_LIFETIME_MS
 
+    def stands_still(self, shard: ClaimShard) -> bool:
+        """Tell whether neither this epoch nor the one before can grant a claim."""
+        before_lost = self.has_lost_quorum(shard.previous)
+        if self.has_lost_quorum(shard.voters):
+            # The next epoch seals the one before, unless that is at its end too.
+            return before_lost or self.has_quorum(shard.previous)
+        if not shard.previous:
+            return False
+        possible = self.count_possible_votes(shard)
+        return before_lost and possible < compute_majority(shard.voters)
+
     def start_again(self, shard: ClaimShard) -> ClaimShard:
         """Return the next epoch of a shard whose change can't end."""
         previous = shard.previous if self.has_quorum(shard.previous) else ()
--- a/src/lentilfork/claims/voter.py
+++ b/src/lentilfork/claims/voter.py
@@ -177,7 +177,7 @@
 
     def update(self, state: ClusterState) -> None:
         """Take over a new generation of the agreed state."""
-        if state.generation < self.state.generation:
+        if state.generation <= self.state.generation:
             return
         self.state = state
         duties = {
