Refuse a data folder from which files were removed

Cause: a folder without its vote or its log but with its identity looked like a fresh one and kept its vote. A new folder is now completed before it is sealed, so a sealed folder that lacks a file is refused with its name. The first log file is put in place with its folder synced; before, it could vanish in a power loss.

It encoded its state for each try, about 0.1 s at 10,000 answers every 0.15 s while a peer was down.

--- a/src/lentilfork/agreement/files.py
+++ b/src/lentilfork/agreement/files.py
@@ -84,6 +84,7 @@
     def open(self) -> None:
         """Make the folder and lock it; BlockingIOError if another process has it."""
         self.folder.mkdir(parents=True, exist_ok=True)
+        sync_folder(self.folder.parent)
         flags = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
         descriptor = os.open(self.folder / LOCK_NAME, flags, FILE_MODE)
         try:
--- a/src/lentilfork/agreement/leadership.py
+++ b/src/lentilfork/agreement/leadership.py
@@ -22,7 +22,6 @@
 from lentilfork.agreement.voters import has_majority
 from lentilfork.schema import agreement_pb2
 from lentilfork.schema import state_pb2
-from lentilfork.state import encode_replicated
 from lentilfork.state.model import Controller
 
 __all__ = ["Leadership", "Peer"]
@@ -310,21 +309,22 @@
         )
 
     async def send_snapshot(self, peer: Peer) -> agreement_pb2.AppendReply:
-        """Send the applied state in parts."""
+        """Send the snapshot on disk in parts; the log goes on after it."""
         core = self.core
-        data = encode_replicated(core.state).SerializeToString()
-        index = core.applied_index
-        chunks = [
+        snapshot = core.log.snapshot
+        if snapshot is None:
+            raise RuntimeError("the log was compacted without a snapshot")
+        chunks = (
             agreement_pb2.SnapshotChunk(
                 term=self.term,
                 leader=core.name,
                 leader_address=core.settings.control_address,
-                last_index=index,
-                last_term=core.log.get_term(index) or 0,
-                data=data[start : start + SNAPSHOT_CHUNK_BYTES],
+                last_index=snapshot.last_index,
+                last_term=snapshot.last_term,
+                data=snapshot.data[start : start + SNAPSHOT_CHUNK_BYTES],
             )
-            for start in range(0, len(data), SNAPSHOT_CHUNK_BYTES)
-        ]
+            for start in range(0, len(snapshot.data), SNAPSHOT_CHUNK_BYTES)
+        )
         core.counters.add("agreement_snapshots", "sent")
         return await core.transport.install_snapshot(
             peer.controller.control_address, chunks, SNAPSHOT_TIMEOUT_S
--- a/src/lentilfork/agreement/storage.py
+++ b/src/lentilfork/agreement/storage.py
@@ -127,7 +127,13 @@
             self.read_log(logs[-1], stored)
         for name in (*snapshots[:-1], *logs[:-1]):
             self.files.remove(name)
-        await self.read_identity(names, fresh=not (VOTE in names or stored.entries))
+        if SEAL not in names:
+            await self.complete_folder(names)
+        elif VOTE not in names or not logs:
+            missing = self.get_path(VOTE if VOTE not in names else LOG_PREFIX)
+            return Err(Failure("read records", missing, "the file is missing"))
+        else:
+            await self.read_identity()
         problem = align_log(stored)
         if problem:
             return Err(Failure("read records", self.get_path(logs[-1]), problem))
@@ -185,19 +191,33 @@
             raise StorageError(Failure("read records", self.get_path(name), text))
         stored.entries[position:] = [entry]
 
-    async def read_identity(self, names: Sequence[str], fresh: bool) -> None:
+    async def complete_folder(self, names: Sequence[str]) -> None:
+        """Put in place what a new folder lacks; the seal comes last.
+
+        Files that a sealed folder lacks later were removed by someone else.
+        """
+        logs = [name for name in names if is_numbered(name, LOG_PREFIX)]
+        self.renewed = bool(logs) and self.vote.term > 0
+        if VOTE not in names:
+            await self.replace(VOTE, [self.vote])
+        if not logs:
+            empty = agreement_pb2.StoredEntries()
+            await self.replace(make_log_name(self.log_number), [empty])
+        await self.renew_identity()
+
+    async def read_identity(self) -> None:
         """Read the id of the folder; draws a new one if this is a copy."""
-        if IDENTITY in names and SEAL in names:
-            identity = self.read_message(IDENTITY, agreement_pb2.StoredIdentity())
+        identity = agreement_pb2.StoredIdentity()
+        if IDENTITY in self.files.list_names():
+            self.read_message(IDENTITY, identity)
             seal = self.read_message(SEAL, agreement_pb2.StoredSeal())
-            mark = self.files.get_mark(IDENTITY)
-            if (seal.disk_id, mark) == (
-                identity.disk_id,
-                (seal.inode, seal.changed_ns),
+            mark = (seal.inode, seal.changed_ns)
+            if seal.disk_id == identity.disk_id and mark == self.files.get_mark(
+                IDENTITY
             ):
                 self.disk_id = identity.disk_id
                 return
-        self.renewed = not fresh or SEAL in names
+        self.renewed = True
         await self.renew_identity()
 
     async def renew_identity(self) -> None:
