--- /dev/null
+++ b/src/lentilfork/bench/spreading.py
@@ -0,0 +1,342 @@
+"""How an update spreads: straight from the controllers, or along trees of members.
+
+Receivers are UDP sockets of one process. Each passes a real update on to its
+children, one after the other, at the rate its link allows; a round is one send.
+The tables it prints compare flat sending with trees, and the plain order of
+forwarding with an adaptive one, where each node finds a free round further up the
+tree (the algorithm of the paper named in docs/DESIGN.md).
+
+Usage: python -m lentilfork.bench.spreading [RECEIVERS...]
+"""
+
+import asyncio
+import random
+import sys
+import time
+from collections.abc import Iterable
+from collections.abc import Iterator
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Final
+from typing import cast
+
+from lentilfork.bench.addresses import AddressBlock
+from lentilfork.schema import control_pb2
+from lentilfork.state import make_delta
+from lentilfork.state.model import Agent
+from lentilfork.state.model import ClusterState
+from lentilfork.state.model import Service
+
+__all__ = ["Schedule", "main", "make_adaptive", "make_flat", "make_plain", "measure"]
+
+SEED: Final = 7
+ROOT: Final = 0
+MEMBER_BYTES_PER_S: Final = 10_000
+CONTROLLER_BYTES_PER_S: Final = 1_000_000
+DEFAULT_SIZES: Final = (50, 200, 800)
+REPEATS: Final = 3
+ROUND_BYTES: Final = 2
+TIMEOUT_S: Final = 30.0
+MAXIMUM_ROUNDS: Final = 4_096
+MAXIMUM_REQUESTS: Final = 1_000_000
+
+
+@dataclass(slots=True)
+class Schedule:
+    """To whom each node sends, in order; node 0 is the controller."""
+
+    children: dict[int, list[int]] = field(default_factory=dict)
+
+    def get_children(self, node: int) -> list[int]:
+        """Return the receivers of a node in the order in which it sends."""
+        return self.children.get(node, [])
+
+
+def make_flat(count: int) -> Schedule:
+    """Return the schedule in which the controller sends to everyone."""
+    return Schedule({ROOT: list(range(1, count + 1))})
+
+
+def draw_parents(count: int, generator: random.Random) -> dict[int, int]:
+    """Return the parents of a tree over random positions on a ring.
+
+    The parent of a position is the owner of half of it, repeatedly, so the tree
+    needs no agreement beyond the positions. The controller is at zero.
+    """
+    positions = [0.0, *sorted(generator.random() for _ in range(count))]
+    parents: dict[int, int] = {}
+    for node in range(1, count + 1):
+        target = positions[node]
+        owner = node
+        while owner == node:
+            target /= 2
+            owner = find_owner(positions, target)
+        parents[node] = owner
+    return parents
+
+
+def find_owner(positions: list[float], target: float) -> int:
+    """Return the last node at or before a position."""
+    low, high = 0, len(positions)
+    while high - low > 1:
+        middle = (low + high) // 2
+        if positions[middle] <= target:
+            low = middle
+        else:
+            high = middle
+    return low
+
+
+def make_plain(parents: dict[int, int], generator: random.Random) -> Schedule:
+    """Return the schedule in which each node sends to its children at random."""
+    schedule = Schedule()
+    for node, parent in parents.items():
+        schedule.children.setdefault(parent, []).append(node)
+    for children in schedule.children.values():
+        generator.shuffle(children)
+    return schedule
+
+
+class AdaptiveSchedule:
+    """The adaptive order: each node looks up the tree for a free early round.
+
+    Rounds are counted from the last one back, so a larger number is earlier. A
+    node must receive in an earlier round than any in which it sends.
+    """
+
+    parents: dict[int, int]
+    # For each node the receiver in each of its rounds.
+    rounds: dict[int, dict[int, int]]
+    # The sender to each node, and the round in which it receives.
+    senders: dict[int, tuple[int, int]]
+    # Requests made while the schedule was found.
+    requests: int
+
+    def __init__(self, parents: dict[int, int]) -> None:
+        self.parents = parents
+        self.rounds = {node: {} for node in (ROOT, *parents)}
+        self.senders = {}
+        self.requests = 0
+
+    def settle(self, nodes: Iterable[int]) -> None:
+        """Find a sender for each node, and for those displaced on the way."""
+        waiting = list(nodes)
+        while waiting:
+            node = waiting.pop()
+            displaced = self.find_sender(node)
+            if displaced is not None:
+                waiting.append(displaced)
+
+    def find_sender(self, node: int) -> int | None:
+        """Give a node its sender; return the node that lost its own for it."""
+        first = max(self.rounds[node], default=0) + 1
+        for number in range(first, MAXIMUM_ROUNDS):
+            for ancestor in self.list_ancestors(node):
+                self.requests += 1
+                assert self.requests < MAXIMUM_REQUESTS, "the schedule does not settle"
+                if self.may_send(ancestor, number):
+                    return self.assign(ancestor, number, node)
+        raise RuntimeError("no free round")
+
+    def list_ancestors(self, node: int) -> Iterator[int]:
+        """Yield parent, grandparent and so on up to the controller."""
+        while node != ROOT:
+            node = self.parents[node]
+            yield node
+
+    def may_send(self, ancestor: int, number: int) -> bool:
+        """Tell whether a node takes a receiver in a round."""
+        if number in self.rounds[ancestor]:
+            return False
+        held = self.senders.get(ancestor)
+        return held is None or number <= held[1]
+
+    def assign(self, sender: int, number: int, node: int) -> int | None:
+        """Let `sender` send to `node`; return `sender` if it lost its own round."""
+        displaced = None
+        held = self.senders.get(sender)
+        if held is not None and number == held[1]:
+            del self.rounds[held[0]][held[1]]
+            del self.senders[sender]
+            displaced = sender
+        self.rounds[sender][number] = node
+        self.senders[node] = (sender, number)
+        return displaced
+
+
+def make_adaptive(parents: dict[int, int], generator: random.Random) -> Schedule:
+    """Return the schedule of the adaptive order, nodes joining at random."""
+    adaptive = AdaptiveSchedule(parents)
+    adaptive.settle(generator.sample(sorted(parents), len(parents)))
+    return Schedule(
+        {
+            node: [receivers[number] for number in sorted(receivers, reverse=True)]
+            for node, receivers in adaptive.rounds.items()
+        }
+    )
+
+
+def make_update(count: int) -> bytes:
+    """Return the serialised update of one changed service among many agents."""
+    agents = {
+        f"agent-{number}": Agent(
+            f"agent-{number}", 1, "signs", "a", "10.0.0.1:1", "10.0.0.1:2", 1, False, 1
+        )
+        for number in range(count)
+    }
+    old = ClusterState(generation=1, agents=agents)
+    service = Service(1, "signs", "10.9.0.1", 5683, 2_000, (), 2)
+    new = ClusterState(generation=2, agents=agents, services={"signs": service})
+    return control_pb2.Update(delta=make_delta(old, new)).SerializeToString()
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What one spreading took."""
+
+    seconds: float = 0.0
+    rounds: int = 0
+    # Sent by the controller, and by the member that sent most.
+    controller_bytes: int = 0
+    member_bytes: int = 0
+
+
+class Node(asyncio.DatagramProtocol):
+    """One receiver, or the controller."""
+
+    number: int
+    run: "Run"
+    transport: asyncio.DatagramTransport
+    sent_bytes: int
+    reached: bool
+
+    def __init__(self, number: int, run: "Run") -> None:
+        self.number = number
+        self.run = run
+        self.sent_bytes = 0
+        self.reached = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the socket."""
+        self.transport = cast("asyncio.DatagramTransport", transport)
+
+    def datagram_received(self, data: bytes, addr: object) -> None:
+        """Take an update and pass it on."""
+        update = control_pb2.Update.FromString(data[ROUND_BYTES:])
+        assert update.delta.generation
+        self.reached = True
+        self.run.note_reached(int.from_bytes(data[:ROUND_BYTES], "big"))
+        self.run.start_forwarding(self, data)
+
+    async def forward(self, data: bytes) -> None:
+        """Send to all children in order, as fast as the link allows."""
+        number = int.from_bytes(data[:ROUND_BYTES], "big")
+        rate = CONTROLLER_BYTES_PER_S if self.number == ROOT else MEMBER_BYTES_PER_S
+        due_s = time.monotonic()
+        for child in self.run.schedule.get_children(self.number):
+            number += 1
+            message = number.to_bytes(ROUND_BYTES, "big") + data[ROUND_BYTES:]
+            due_s += len(message) / rate
+            await asyncio.sleep(max(0.0, due_s - time.monotonic()))
+            self.transport.sendto(message, self.run.addresses[child])
+            self.sent_bytes += len(message)
+
+
+class Run:
+    """One update on its way to all receivers."""
+
+    schedule: Schedule
+    host: str
+    addresses: list[tuple[str, int]]
+    nodes: list[Node]
+    outcome: Outcome
+    missing: int
+    done: asyncio.Event
+    tasks: set["asyncio.Task[None]"]
+
+    def __init__(self, schedule: Schedule, count: int, host: str) -> None:
+        self.schedule = schedule
+        self.host = host
+        self.addresses = []
+        self.nodes = [Node(number, self) for number in range(count + 1)]
+        self.outcome = Outcome()
+        self.missing = count
+        self.done = asyncio.Event()
+        self.tasks = set()
+
+    def note_reached(self, number: int) -> None:
+        """Count a receiver that was reached in a round."""
+        self.outcome.rounds = max(self.outcome.rounds, number)
+        self.missing -= 1
+        if not self.missing:
+            self.done.set()
+
+    def start_forwarding(self, node: Node, data: bytes) -> None:
+        """Let a node pass an update on."""
+        task = asyncio.create_task(node.forward(data))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def execute(self, update: bytes) -> Outcome:
+        """Spread one update; raises TimeoutError if a receiver is not reached."""
+        loop = asyncio.get_running_loop()
+        for node in self.nodes:
+            transport, _ = await loop.create_datagram_endpoint(
+                lambda node=node: node,  # type: ignore[misc]
+                local_addr=(self.host, 0),
+            )
+            self.addresses.append(transport.get_extra_info("sockname"))
+        started_s = time.monotonic()
+        self.start_forwarding(self.nodes[ROOT], bytes(ROUND_BYTES) + update)
+        try:
+            await asyncio.wait_for(self.done.wait(), TIMEOUT_S)
+        finally:
+            for node in self.nodes:
+                node.transport.close()
+        self.outcome.seconds = time.monotonic() - started_s
+        self.outcome.controller_bytes = self.nodes[ROOT].sent_bytes
+        self.outcome.member_bytes = max(node.sent_bytes for node in self.nodes[1:])
+        return self.outcome
+
+
+async def measure(schedule: Schedule, count: int, host: str) -> Outcome:
+    """Return the median of a few runs by time."""
+    update = make_update(count)
+    outcomes = [
+        await Run(schedule, count, host).execute(update) for _ in range(REPEATS)
+    ]
+    return sorted(outcomes, key=lambda outcome: outcome.seconds)[REPEATS // 2]
+
+
+async def compare(sizes: Iterable[int]) -> None:
+    """Print one line for each number of receivers and schedule."""
+    block = AddressBlock()
+    print("receivers schedule rounds ms controller_bytes member_bytes")
+    for count in sizes:
+        parents = draw_parents(count, random.Random(SEED))
+        schedules = {
+            "flat": make_flat(count),
+            "tree-plain": make_plain(parents, random.Random(SEED)),
+            "tree-adaptive": make_adaptive(parents, random.Random(SEED)),
+        }
+        for name, schedule in schedules.items():
+            result = await measure(schedule, count, block.take_host())
+            print(
+                count,
+                name,
+                result.rounds,
+                round(result.seconds * 1000),
+                result.controller_bytes,
+                result.member_bytes,
+                flush=True,
+            )
+    block.close()
+
+
+def main(arguments: list[str]) -> None:
+    """Compare at the sizes given, or at the usual ones."""
+    asyncio.run(compare(tuple(map(int, arguments)) or DEFAULT_SIZES))
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
