--- a/tests/agreement/test_machine.py
+++ b/tests/agreement/test_machine.py
@@ -1,5 +1,7 @@
 """Agreement through crashes, failing syncs, cuts and lost disks, on a plain model."""
 
+from itertools import takewhile
+
 from hypothesis import HealthCheck
 from hypothesis import settings
 from hypothesis import strategies
@@ -62,9 +64,15 @@
         else:
             self.cluster.start(name)
 
-    @rule(missing=NAMES)
-    def crash_all(self, missing: str) -> None:
-        """Kill all controllers at once and start all but one."""
+    @rule(missing=NAMES, name=NAMES)
+    def crash_all(self, missing: str, name: str) -> None:
+        """Kill all at once, as soon as a change is accepted; start all but one."""
+        if name in self.cluster.replicas:
+            self.count += 1
+            task = self.cluster.propose(name, make_change(self.count))
+            waits = takewhile(lambda _: not task.done(), range(200))
+            for _ in waits:
+                self.cluster.run(0.001)
         for name in list(self.cluster.replicas):
             self.cluster.crash(name)
         for name in self.cluster.addresses:
