Split the changes of operators from those of the system

No change of behaviour. Adds a test that an emptied folder under the lowest name begins no second history.

--- /dev/null
+++ b/src/lentilfork/state/operator_changes.py
@@ -0,0 +1,80 @@
+"""What operators change: services, presets and the preset in force."""
+
+from dataclasses import replace
+
+from lentilfork.schema import state_pb2
+from lentilfork.state.codec import decode_preset
+from lentilfork.state.codec import decode_service
+from lentilfork.state.effects import Effect
+from lentilfork.state.effects import change_cluster
+from lentilfork.state.effects import omit
+from lentilfork.state.effects import refuse
+from lentilfork.state.replicated import ReplicatedState
+from lentilfork.state.validation import check_preset
+from lentilfork.state.validation import check_service
+
+__all__ = [
+    "apply_preset",
+    "apply_service",
+    "remove_preset",
+    "remove_service",
+    "use_preset",
+]
+
+
+def apply_service(state: ReplicatedState, change: state_pb2.Change) -> Effect:
+    """Create or replace a service; the id of an existing one stays."""
+    message = change.apply_service
+    problem = check_service(state.cluster, message)
+    if problem:
+        return refuse(state, problem)
+    known = state.cluster.services.get(message.name)
+    service = replace(
+        decode_service(message),
+        id=known.id if known else state.next_service_id,
+        version=state.cluster.generation + 1,
+    )
+    following = state.next_service_id + (0 if known else 1)
+    services = state.cluster.services | {service.name: service}
+    return change_cluster(replace(state, next_service_id=following), services=services)
+
+
+def remove_service(state: ReplicatedState, change: state_pb2.Change) -> Effect:
+    """Remove a service; its agents stay and serve it if it is applied again."""
+    name = change.remove_service
+    if name not in state.cluster.services:
+        return refuse(state, f"no service named {name!r}")
+    return change_cluster(state, services=omit(state.cluster.services, name))
+
+
+def apply_preset(state: ReplicatedState, change: state_pb2.Change) -> Effect:
+    """Create or replace a preset."""
+    problem = check_preset(change.apply_preset)
+    if problem:
+        return refuse(state, problem)
+    version = state.cluster.generation + 1
+    preset = replace(decode_preset(change.apply_preset), version=version)
+    return change_cluster(state, presets=state.cluster.presets | {preset.name: preset})
+
+
+def remove_preset(state: ReplicatedState, change: state_pb2.Change) -> Effect:
+    """Remove a preset that is not in force."""
+    name = change.remove_preset
+    if name not in state.cluster.presets:
+        return refuse(state, f"no preset named {name!r}")
+    if name == state.cluster.active_preset:
+        return refuse(state, f"preset {name!r} is in force")
+    return change_cluster(state, presets=omit(state.cluster.presets, name))
+
+
+def use_preset(state: ReplicatedState, change: state_pb2.Change) -> Effect:
+    """Put a preset in force."""
+    name = change.use_preset
+    if name not in state.cluster.presets:
+        known = ", ".join(sorted(state.cluster.presets))
+        return refuse(state, f"no preset named {name!r}; there are {known}")
+    return change_cluster(
+        state,
+        active_preset=name,
+        active_preset_version=state.cluster.generation + 1,
+    )
--- a/tests/agreement/test_replicas.py
+++ b/tests/agreement/test_replicas.py
@@ -183,6 +183,20 @@
     cluster.settle()
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_emptied_folder_does_not_begin_a_second_history(seed: int) -> None:
+    cluster = Cluster(3, seed)
+    cluster.start_all()
+    accept(cluster, cluster.get_leader().core.name, 1)
+    for name in list(cluster.replicas):
+        cluster.crash(name)
+    # c0 has the lowest name: it alone may write the first entry of all.
+    cluster.disks["c0"].restore({})
+    cluster.start_all()
+    cluster.settle()
+    cluster.close()
+
+
 def test_second_host_lost_right_after_repair_loses_nothing(cluster: Cluster) -> None:
     leader, (kept, lost) = split(cluster)
     accept(cluster, leader, 1)
