--- a/src/lentilfork/daemon.py
+++ b/src/lentilfork/daemon.py
@@ -88,10 +88,12 @@
         self.hurried = asyncio.Event()
 
     def install(self) -> None:
-        """Handle SIGTERM and SIGINT from now on, in the running loop."""
+        """Handle SIGTERM and SIGINT from now on, and ignore SIGHUP."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.receive)
+        # Its default action would cut the work in flight.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
     def receive(self) -> None:
         """Take note of one signal."""
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -250,6 +250,7 @@
     deployment: Deployment, role: str
 ) -> None:
     with deployment.start(deployment.make(role)) as process:
+        process.send_signal(signal.SIGHUP)
         process.send_signal(signal.SIGTERM)
         assert process.wait(STOP_TIMEOUT_S) == ExitCode.OK
     log = deployment.log.read_text()
