Announce all members of a controller to a new leader

Cause: a new leader accepted the numbers of a controller from a batch that announced only some of its members; the others were then never renewed. In a run with 900 stand-in receivers it took 300 living members out after the old leader was killed. A reply of a controller that knew no leader also passed for an acknowledgement. Ruled out: lost streams (all 900 had joined again). Change: a sender says that a batch announces all; replies say they were taken.

--- a/src/lentilfork/membership/hub.py
+++ b/src/lentilfork/membership/hub.py
@@ -88,8 +88,8 @@
             reply = await stub.RelayHeartbeats(batch, timeout=RELAY_TIMEOUT_S)
         except grpc.aio.AioRpcError:
             return None
-        # Another controller leads by now; its address will be known soon.
-        return None if reply.leader else reply
+        # Otherwise another controller leads by now; which will be known soon.
+        return reply if reply.taken else None
 
     def dump(self) -> dict[str, object]:
         """Return members and leases as JSON values."""
--- a/src/lentilfork/membership/keeper.py
+++ b/src/lentilfork/membership/keeper.py
@@ -27,6 +27,9 @@
 __all__ = ["Keeper"]
 
 TICK_S: Final = 0.1
+# Between ticks with more members than this.
+LARGE_TICK_S: Final = 0.25
+LARGE_MEMBERS: Final = 256
 # This process did not run between two ticks further apart.
 STALLED_MS: Final = 500
 # A change that was refused is not proposed again before this time has passed.
@@ -90,7 +93,8 @@
         try:
             while True:
                 self.tick(leadership.get_state(), leadership.leads())
-                await asyncio.sleep(TICK_S)
+                large = len(self.leases.leases) > LARGE_MEMBERS
+                await asyncio.sleep(LARGE_TICK_S if large else TICK_S)
         finally:
             for task in self.under_way.values():
                 task.cancel()
--- a/src/lentilfork/membership/leases.py
+++ b/src/lentilfork/membership/leases.py
@@ -58,6 +58,8 @@
     announced: bool = False
     generation: int = 0
     ended: bool = False
+    # The object of the state that was found to be the same as `member`.
+    verified: Agent | Balancer | None = None
     # Claim shards the member holds whole, with the epoch.
     synced: tuple[tuple[ShardName, int], ...] = ()
 
@@ -150,7 +152,7 @@
             return None
         synced = tuple(decode_synced(list(heartbeat.synced_shards)))
         self.leases[key] = Lease(
-            member, now_ms, True, heartbeat.generation, heartbeat.ended, synced
+            member, now_ms, True, heartbeat.generation, heartbeat.ended, synced=synced
         )
         return key, member.incarnation
 
@@ -206,7 +208,12 @@
         for key, lease in self.leases.items():
             if not lease.announced or lease.ended or self.is_silent(lease, now_ms):
                 continue
-            if not is_same(find_member(state, key), lease.member):
+            held = find_member(state, key)
+            if held is not None and held is lease.verified:
+                continue
+            if is_same(held, lease.member):
+                lease.verified = held
+            else:
                 yield make_put(lease.member)
 
     def plan_endings(
--- a/src/lentilfork/membership/relay.py
+++ b/src/lentilfork/membership/relay.py
@@ -46,6 +46,8 @@
     counters: Counters
     # Known to the leader that this controller's members were announced to.
     numbering: int
+    # Every member is to be announced: the leader does not know the numbers.
+    whole: bool
 
     def __init__(
         self, name: str, sessions: Sessions, send: Send, counters: Counters
@@ -55,6 +57,7 @@
         self.send = send
         self.counters = counters
         self.numbering = random.getrandbits(NUMBERING_BITS)
+        self.whole = True
 
     async def run(self) -> None:
         """Relay until cancelled."""
@@ -82,9 +85,11 @@
             self.counters.add("relay.failed")
             self.announce_again(announced)
         elif reply.unknown_numbering:
+            self.whole = True
             self.announce_again(list(self.sessions.sessions.values()))
             self.sessions.urgent.set()
         else:
+            self.whole = False
             self.acknowledge(heard, reply)
 
     def make_batch(self) -> control_pb2.HeartbeatBatch:
@@ -102,6 +107,7 @@
             heard=self.sessions.mark_heard(),
             generation=generation,
             current=self.sessions.mark_current(generation),
+            whole=self.whole,
         )
 
     def announce_again(self, sessions: list[Session]) -> None:
@@ -151,10 +157,9 @@
         """Renew the leases of the members that were heard."""
         numbering = self.numberings.get(batch.controller)
         heard = list(unpack_bits(batch.heard))
-        announced = {item.number for item in batch.announced}
         if numbering is None or numbering.id != batch.numbering:
-            if not announced.issuperset(heard):
-                return control_pb2.RelayReply(unknown_numbering=True)
+            if not batch.whole:
+                return control_pb2.RelayReply(taken=True, unknown_numbering=True)
             numbering = self.add_numbering(batch)
         numbering.generation = batch.generation
         numbering.heard_ms = now_ms
@@ -166,6 +171,7 @@
                 generation = batch.generation if number in current else None
                 self.leases.renew(key, incarnation, generation, now_ms)
         return control_pb2.RelayReply(
+            taken=True,
             generation=state.generation,
             not_admitted=(
                 number
--- a/src/lentilfork/membership/service.py
+++ b/src/lentilfork/membership/service.py
@@ -43,8 +43,8 @@
     async def RelayHeartbeats(  # noqa: N802
         self, request: control_pb2.HeartbeatBatch, context: Any
     ) -> control_pb2.RelayReply:
-        """Take a batch as the leader, or tell who leads."""
+        """Take a batch if this controller leads."""
         self.counters.add("control.bytes_in", amount=request.ByteSize())
         if not self.leadership.leads():
-            return control_pb2.RelayReply(leader=self.leadership.find_leader())
+            return control_pb2.RelayReply()
         return self.keeper.take_batch(request, self.leadership.get_state())
--- a/src/lentilfork/membership/sessions.py
+++ b/src/lentilfork/membership/sessions.py
@@ -2,9 +2,12 @@
 
 A session's task writes what its member lacks and what the leader acknowledged. It
 writes one message at a time and makes the next from the newest state only, so a
-slow member costs no memory. After a large message it pauses, so that a burst of
-changes reaches a member in few messages and stays within its share for control
-traffic.
+slow member costs no memory. After a large message it pauses, so that a member
+stays within its share for control traffic.
+
+A change after a quiet time is spread at once; those that follow closely are
+gathered, the longer the more members are joined. So all members step through the
+same few generations, and each delta is made once for all of them.
 """
 
 import asyncio
@@ -22,11 +25,13 @@
 __all__ = ["Session", "Sessions"]
 
 MAXIMUM_SESSIONS: Final = 8_192
-# A message of n bytes is followed by a pause of n / this rate, below the limit.
+# Messages above this size are followed by a pause of size / rate, below the limit.
+PACED_BYTES: Final = 256
 PACE_BYTES_PER_S: Final = 10_000
 MAXIMUM_PAUSE_S: Final = 0.5
-# A generation that follows another closely waits for this long for each member.
-PAUSE_PER_SESSION_S: Final = 0.0005
+# Between two generations that are spread, for each session, below the limit.
+GATHER_PER_SESSION_S: Final = 0.0005
+MAXIMUM_GATHER_S: Final = 0.5
 BITS: Final = 8
 
 
@@ -114,6 +119,12 @@
     # Set when a heartbeat came that the leader should get at once.
     urgent: asyncio.Event
     closing: bool
+    # Newest state, spread or about to be.
+    latest: ClusterState
+    # When a generation was last spread, in seconds of the loop's clock.
+    spread_s: float
+    # Spreads what was gathered; None while nothing waits.
+    gathering: asyncio.TimerHandle | None
 
     def __init__(self, state: ClusterState, counters: Counters) -> None:
         self.spreading = Spreading(state)
@@ -122,10 +133,28 @@
         self.free = []
         self.urgent = asyncio.Event()
         self.closing = False
+        self.latest = state
+        self.spread_s = 0.0
+        self.gathering = None
 
     def take(self, state: ClusterState) -> None:
-        """Spread a new generation."""
-        self.spreading.take(state)
+        """Spread a new generation, now or with those that follow it closely."""
+        self.latest = state
+        if self.gathering is not None:
+            return
+        loop = asyncio.get_running_loop()
+        gather_s = min(len(self.sessions) * GATHER_PER_SESSION_S, MAXIMUM_GATHER_S)
+        wait_s = self.spread_s + gather_s - loop.time()
+        if wait_s <= 0:
+            self.spread()
+        else:
+            self.gathering = loop.call_later(wait_s, self.spread)
+
+    def spread(self) -> None:
+        """Spread the newest generation."""
+        self.gathering = None
+        self.spread_s = asyncio.get_running_loop().time()
+        self.spreading.take(self.latest)
         self.wake_all()
 
     def wake_all(self) -> None:
@@ -201,14 +230,8 @@
             size = update.ByteSize()
             self.counters.add("control.bytes_out", amount=size)
             await context.write(update)
-            await asyncio.sleep(self.choose_pause_s(update, size))
-
-    def choose_pause_s(self, update: control_pb2.Update, size: int) -> float:
-        """Return the time for which further changes are gathered after an update."""
-        pause_s = size / PACE_BYTES_PER_S
-        if update.WhichOneof("body"):
-            pause_s = max(pause_s, len(self.sessions) * PAUSE_PER_SESSION_S)
-        return min(pause_s, MAXIMUM_PAUSE_S)
+            if size > PACED_BYTES:
+                await asyncio.sleep(min(size / PACE_BYTES_PER_S, MAXIMUM_PAUSE_S))
 
     def list_changed(self) -> Iterator[Session]:
         """Return sessions with a full heartbeat the leader has not got."""
--- a/tests/membership/test_leases.py
+++ b/tests/membership/test_leases.py
@@ -8,6 +8,8 @@
 from lentilfork.bench.faults import PathConfig
 from lentilfork.membership.lease import LEASE_MS
 from lentilfork.membership.leases import Leases
+from lentilfork.membership.leases import MemberKey
+from lentilfork.membership.relay import RelayReceiver
 from lentilfork.membership.silence import Removal
 from lentilfork.membership.silence import SilenceLimit
 from lentilfork.schema import control_pb2
@@ -113,6 +115,29 @@
     assert removal.remove_agent.agent == "depot-2"
 
 
+def test_new_leader_has_every_member_of_a_controller_announced() -> None:
+    leases = Leases(SilenceLimit(None))
+    receiver = RelayReceiver(leases)
+    state = ReplicatedState().cluster
+    announced = [
+        control_pb2.NumberedHeartbeat(number=n, heartbeat=announce(f"depot-{n}", 1))
+        for n in range(2)
+    ]
+    # Only the first was heard since the last batch; the second must not be lost.
+    batch = control_pb2.HeartbeatBatch(
+        controller="control-1", numbering=5, announced=announced[:1], heard=b"\x01"
+    )
+    assert receiver.take_batch(batch, state, 0).unknown_numbering
+    batch.announced.append(announced[1])
+    batch.whole = True
+    assert list(receiver.take_batch(batch, state, 0).not_admitted) == [0]
+    pulse = control_pb2.HeartbeatBatch(
+        controller="control-1", numbering=5, heard=b"\x02"
+    )
+    assert list(receiver.take_batch(pulse, state, 1_500).not_admitted) == [1]
+    assert leases.leases[MemberKey("agent", "depot-1")].heard_ms == 1_500
+
+
 async def test_one_data_centre_of_two_silent_ones_goes_at_once() -> None:
     async with run_cluster() as cluster:
         places = ("a", "a", "a", "b", "b", "c", "c")
