--- /dev/null
+++ b/tests/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of claims."""
--- /dev/null
+++ b/tests/claims/simulation.py
@@ -0,0 +1,393 @@
+"""Random schedules for the real voters, clients and planner of claims.
+
+The message layer drops, delays, reorders and repeats. Processes crash and start
+again with empty memory, lose touch with the controllers, and drain; generations
+reach them unevenly. Callers send copies of an exchange, and later exchanges with
+the same request key, to any process. The journal is the judge.
+"""
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Coroutine
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
+from typing import Any
+from typing import TypeVar
+
+from lentilfork import claims
+from lentilfork.claims.peers import VoterRequest
+from lentilfork.counters import Counters
+from lentilfork.schema.claims_pb2 import ClaimReply
+from lentilfork.schema.claims_pb2 import SyncReply
+from lentilfork.schema.claims_pb2 import SyncRequest
+from lentilfork.state.model import Agent
+from lentilfork.state.model import ClusterState
+from lentilfork.state.model import Service
+from lentilfork.state.model import Voter
+
+__all__ = ["Journal", "Profile", "Simulation"]
+
+AGENTS = 7
+Key = TypeVar("Key")
+Value = TypeVar("Value")
+SERVICE = "reports"
+
+
+@dataclass(frozen=True)
+class Profile:
+    """How much goes wrong, and for how long; times in seconds."""
+
+    length: float = 12.0
+    loss: float = 0.1
+    repeats: float = 0.1
+    # Longest wait of a runner between its grant and the run.
+    pause: float = 2.0
+    # Longest time for which copies of an exchange come.
+    copies: float = 3.0
+    # Longest time after the first exchange at which a later one begins.
+    later: float = 6.0
+    deadline: float = 3.0
+    # Mean time between faults of the members.
+    fault_every: float = 0.4
+    # A process out of touch with the controllers stays so for up to this long.
+    lag: float = 6.0
+    requests: int = 8
+
+
+@dataclass
+class Journal:
+    """What really ran, and what callers were told."""
+
+    # Key and exchange of each run, in order.
+    runs: list[tuple[bytes, bytes]] = field(default_factory=list)
+    # Exchanges told "not run", and those that got an answer.
+    not_run: set[bytes] = field(default_factory=set)
+    answers: list[tuple[bytes, bytes]] = field(default_factory=list)
+    events: Counter[str] = field(default_factory=Counter)
+
+    def find_violations(self) -> list[str]:
+        """Return each broken promise."""
+        by_key = Counter(key for key, _ in self.runs)
+        ran = {exchange: key for key, exchange in self.runs}
+        answered = {key + exchange for key, exchange in self.runs}
+        return [
+            *(
+                f"{key!r} ran {count} times"
+                for key, count in by_key.items()
+                if count > 1
+            ),
+            *(
+                f"{exchange!r} ran, told not run"
+                for exchange in self.not_run & set(ran)
+            ),
+            *(
+                f"{key!r} got the answer {answer!r}"
+                for key, answer in self.answers
+                if answer not in answered or not answer.startswith(key)
+            ),
+        ]
+
+
+class Process:
+    """One start of an agent; also its connection to the others."""
+
+    simulation: "Simulation"
+    own: Voter
+    voter: claims.ClaimVoter
+    client: claims.ClaimClient
+    alive: bool
+    # Generations reach it from this time on.
+    hears_from: float
+    tasks: set[asyncio.Task[None]]
+
+    def __init__(self, simulation: "Simulation", own: Voter) -> None:
+        self.simulation, self.own, self.alive = simulation, own, True
+        self.hears_from = 0.0
+        self.tasks = set()
+        clock, counters = simulation.clock, Counters()
+        self.voter = claims.ClaimVoter(own, self, counters, clock)
+        seeded = random.Random(simulation.randomness.random())
+        self.client = claims.ClaimClient(own, self, self.voter, counters, clock, seeded)
+
+    def hear(self, state: ClusterState) -> None:
+        """Take a generation from the leader."""
+        if self.alive:
+            self.voter.update(state)
+            self.voter.renew_lease(state.generation)
+
+    def start(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run `work` until the process crashes."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def crash(self) -> None:
+        """End at once: no task of the process runs on."""
+        self.alive = False
+        # Cancelled work must not reach the network any more.
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.client.stop()
+        await self.voter.stop()
+
+    async def call(
+        self, address: str, request: VoterRequest, timeout_s: float
+    ) -> ClaimReply | None:
+        """Send a request through the faulty network."""
+        if not self.alive:
+            return None
+        try:
+            return await asyncio.wait_for(self.travel(address, request), timeout_s)
+        except TimeoutError:
+            return None
+
+    async def travel(self, address: str, request: VoterRequest) -> ClaimReply | None:
+        """Deliver a request, perhaps never or twice, and its reply."""
+        simulation = self.simulation
+        if simulation.happens(simulation.profile.repeats):
+            simulation.start(self.deliver(address, request))
+        # A request on its way arrives also if the caller no longer waits.
+        arrival = asyncio.create_task(self.deliver(address, request))
+        simulation.tasks.add(arrival)
+        return await asyncio.shield(arrival)
+
+    async def deliver(self, address: str, request: VoterRequest) -> ClaimReply | None:
+        """Carry a request there and the reply back, each after a delay."""
+        simulation = self.simulation
+        await simulation.delay()
+        target = simulation.processes[address]
+        if not target.alive or simulation.happens(simulation.profile.loss):
+            await asyncio.sleep(simulation.profile.length)
+            return None
+        reply = target.voter.answer(request)
+        await simulation.delay()
+        if simulation.happens(simulation.profile.loss):
+            await asyncio.sleep(simulation.profile.length)
+        return reply
+
+    async def sync(self, address: str, request: SyncRequest) -> list[SyncReply] | None:
+        """Fetch a voter's records through the faulty network."""
+        simulation = self.simulation
+        await simulation.delay()
+        target = simulation.processes[address]
+        if not target.alive or simulation.happens(simulation.profile.loss):
+            return None
+        parts = [part async for part in target.voter.Sync(request, None)]
+        await simulation.delay()
+        return None if simulation.happens(simulation.profile.loss) else parts
+
+
+class Simulation:
+    """One schedule: all processes, their faults, the callers and the leader."""
+
+    profile: Profile
+    randomness: random.Random
+    journal: Journal
+    # The present process at each address; the address is the agent's name.
+    processes: dict[str, Process]
+    state: ClusterState
+    lost_since_ms: dict[Voter, int]
+    tasks: set[asyncio.Task[Any]]
+
+    def __init__(self, seed: int, profile: Profile) -> None:
+        self.profile = profile
+        self.randomness = random.Random(seed)
+        self.journal = Journal()
+        self.processes = {}
+        self.state = ClusterState(
+            generation=1,
+            services={SERVICE: Service(1, SERVICE, "10.0.0.1", 5683, 3000, (), 1)},
+        )
+        self.lost_since_ms = {}
+        self.tasks = set()
+
+    def clock(self) -> float:
+        """Return the virtual time, in seconds."""
+        return asyncio.get_running_loop().time()
+
+    def happens(self, probability: float) -> bool:
+        """Draw whether an event happens."""
+        return self.randomness.random() < probability
+
+    async def delay(self) -> None:
+        """Wait as long as a message is under way: mostly short."""
+        longest = 3.0 if self.happens(0.1) else 0.05
+        await asyncio.sleep(self.randomness.uniform(0.0, longest))
+
+    def start(self, work: Coroutine[Any, Any, Any]) -> None:
+        """Run `work` beside the processes."""
+        self.tasks.add(asyncio.create_task(work))
+
+    async def run(self) -> None:
+        """Run the schedule to its end."""
+        for number in range(AGENTS):
+            self.admit(f"a{number}", 1)
+        self.start(self.lead())
+        await asyncio.sleep(1.0)
+        self.start(self.break_members())
+        for number in range(self.profile.requests):
+            self.start(self.send_exchanges(b"key-%d/" % number))
+        await asyncio.sleep(self.profile.length)
+
+    # Members and the leader.
+
+    def admit(self, name: str, incarnation: int) -> None:
+        """Start a process and put it into the state."""
+        process = Process(self, Voter(name, incarnation))
+        self.processes[name] = process
+        self.put_agent(name)
+
+    def put_agent(self, name: str, draining: bool = False) -> None:
+        """Put the present process of an agent into the state."""
+        centre = f"centre-{int(name[1:]) % 3}"
+        incarnation = self.processes[name].own.incarnation
+        agent = Agent(name, incarnation, SERVICE, centre, name, name, 1, draining, 1)
+        self.change(agents=self.state.agents | {name: agent})
+
+    def change(self, **parts: Any) -> None:
+        """Make the next generation."""
+        self.state = replace(self.state, generation=self.state.generation + 1, **parts)
+
+    async def lead(self) -> None:
+        """Plan shards and spread generations, unevenly, until cancelled."""
+        while True:
+            now_ms = int(self.clock() * 1000)
+            self.lost_since_ms = claims.track_lost(
+                self.state, self.lost_since_ms, now_ms
+            )
+            for shard in claims.plan_shards(
+                self.state, self.read_reports(), self.lost_since_ms, now_ms
+            ):
+                self.journal.events["epochs"] += bool(shard.previous)
+                known = self.state.claim_shards.get(shard.name)
+                fresh = known and not shard.previous and known.epoch < shard.epoch
+                self.journal.events["started anew"] += bool(fresh)
+                others = omit(self.state.claim_shards, shard.name)
+                kept = {shard.name: shard} if shard.voters else {}
+                self.change(claim_shards=others | kept)
+            for process in self.processes.values():
+                if process.alive and self.clock() >= process.hears_from:
+                    wait_s = self.randomness.uniform(0.0, 0.4)
+                    loop = asyncio.get_running_loop()
+                    loop.call_later(wait_s, process.hear, self.state)
+            await asyncio.sleep(0.3)
+
+    def read_reports(self) -> dict[Any, dict[Voter, int]]:
+        """Return the epochs that processes in touch report as synced."""
+        reports: dict[Any, dict[Voter, int]] = {}
+        for process in self.processes.values():
+            if not process.alive or self.clock() < process.hears_from:
+                continue
+            for text in process.voter.synced_shards():
+                service, index, epoch = text.split("/")
+                name = claims.shard_for(service, b"")
+                name = replace(name, index=int(index))
+                reports.setdefault(name, {})[process.own] = int(epoch)
+        return reports
+
+    async def break_members(self) -> None:
+        """Let members crash, drain and lose touch until the time is up."""
+        faults = [self.restart, self.cut_off, self.cut_off, self.drain, self.drain]
+        while True:
+            pause = self.randomness.expovariate(1 / self.profile.fault_every)
+            await asyncio.sleep(pause)
+            name = self.randomness.choice(sorted(self.processes))
+            self.start(self.randomness.choice(faults)(name))
+
+    async def restart(self, name: str) -> None:
+        """Crash an agent and start it with empty memory."""
+        process = self.processes[name]
+        if not process.alive:
+            return
+        await process.crash()
+        self.journal.events["crashes"] += 1
+        await asyncio.sleep(self.randomness.uniform(0.0, 2.0))
+        self.change(agents=omit(self.state.agents, name))
+        await asyncio.sleep(self.randomness.uniform(0.0, 2.0))
+        self.admit(name, process.own.incarnation + 1)
+
+    async def cut_off(self, name: str) -> None:
+        """Cut an agent off from the controllers, which then take it out."""
+        process = self.processes[name]
+        process.hears_from = self.clock() + self.randomness.uniform(
+            0.0, self.profile.lag
+        )
+        if self.happens(0.5):
+            self.change(agents=omit(self.state.agents, name))
+            await asyncio.sleep(process.hears_from - self.clock())
+            if process.alive:
+                self.put_agent(name)
+
+    async def drain(self, name: str) -> None:
+        """Drain an agent for a while: it votes no more, but runs on."""
+        if name in self.state.agents:
+            self.put_agent(name, draining=True)
+            await asyncio.sleep(self.randomness.uniform(1.0, 4.0))
+            if name in self.state.agents and self.processes[name].alive:
+                self.put_agent(name)
+
+    # Callers.
+
+    async def send_exchanges(self, key: bytes) -> None:
+        """Send one or more exchanges with one request key."""
+        await asyncio.sleep(self.randomness.uniform(0.0, self.profile.length / 2))
+        for number in range(self.randomness.randint(1, 3)):
+            exchange = b"exchange-%d" % number
+            for _ in range(self.randomness.randint(1, 4)):
+                self.start(self.send_copy(key, key + exchange))
+            await asyncio.sleep(self.randomness.uniform(0.0, self.profile.later / 2))
+
+    async def send_copy(self, key: bytes, exchange: bytes) -> None:
+        """Bring one copy of an exchange to a random process."""
+        together = self.happens(0.5)
+        longest = 0.02 if together else self.profile.copies
+        await asyncio.sleep(self.randomness.uniform(0.0, longest))
+        process = self.processes[self.randomness.choice(sorted(self.processes))]
+        if process.alive:
+            process.start(self.serve(process, key, exchange))
+
+    async def serve(self, process: Process, key: bytes, exchange: bytes) -> None:
+        """Do what an agent does with a non-idempotent request."""
+        client, deadline = process.client, self.clock() + self.profile.deadline
+        while self.clock() < deadline:
+            outcome: object = await client.claim(SERVICE, key, exchange, deadline)
+            if isinstance(outcome, claims.HeldElsewhere):
+                outcome = await client.wait_for_answer(SERVICE, key, exchange, deadline)
+            self.journal.events[type(outcome).__name__] += 1
+            match outcome:
+                case claims.Released():
+                    continue
+                case claims.Granted(grant):
+                    await self.use_grant(process, grant)
+                case claims.RefusedBefore():
+                    self.journal.not_run.add(exchange)
+                case claims.AlreadyDone(answer) if answer is not None:
+                    self.journal.answers.append((key, answer))
+                case _:
+                    if await client.refuse(SERVICE, key, exchange, deadline + 1.0):
+                        self.journal.not_run.add(exchange)
+                        self.journal.events["refused"] += 1
+            return
+
+    async def use_grant(self, process: Process, grant: claims.Grant) -> None:
+        """Run the request or refuse it; both perhaps late."""
+        exchange = grant.attempt.exchange
+        if self.happens(0.5):
+            await asyncio.sleep(self.randomness.uniform(0.0, self.profile.pause))
+        if self.happens(0.6) and grant.begin():
+            self.journal.runs.append((grant.key, exchange))
+            await asyncio.sleep(self.randomness.uniform(0.0, 1.0))
+            # As the backend server's journal: the answer names its run.
+            answer = grant.key + exchange
+            await process.client.settle_done(grant, answer, self.clock() + 3.0)
+        elif await process.client.settle_not_run(grant, self.clock() + 2.0):
+            self.journal.not_run.add(exchange)
+            self.journal.events["refused"] += 1
+
+
+def omit(objects: dict[Key, Value], name: Key) -> dict[Key, Value]:
+    """Return the objects without one."""
+    return {other: value for other, value in objects.items() if other != name}
--- /dev/null
+++ b/tests/claims/test_plan.py
@@ -0,0 +1,160 @@
+"""Voters of claim shards under loss, drain and growth."""
+
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+
+from lentilfork.claims import CLAIM_VOTERS
+from lentilfork.claims import plan_shards
+from lentilfork.claims.plan import RECORD_LIFETIME_MS
+from lentilfork.claims.plan import VOTER_LEASE_MS
+from lentilfork.state.model import Agent
+from lentilfork.state.model import ClaimShard
+from lentilfork.state.model import ClusterState
+from lentilfork.state.model import Service
+from lentilfork.state.model import ShardName
+from lentilfork.state.model import Voter
+
+NAME = ShardName("reports", 0)
+SERVICE = Service(1, "reports", "10.0.0.1", 5683, 3000, (), 1)
+CENTRES = ("kandy-a", "nuwara-b", "badulla-c")
+
+
+def make_agent(number: int, incarnation: int = 1, draining: bool = False) -> Agent:
+    """Return one of the agents a0, a1, ..., spread over the data centres."""
+    return Agent(
+        f"a{number}",
+        incarnation,
+        "reports",
+        CENTRES[number % 3],
+        "",
+        "",
+        1,
+        draining,
+        1,
+    )
+
+
+def make_state(*agents: Agent, shard: ClaimShard | None = None) -> ClusterState:
+    """Return a state with one service and at most the first of its shards."""
+    return ClusterState(
+        7,
+        services={"reports": SERVICE},
+        agents={agent.name: agent for agent in agents},
+        claim_shards={} if shard is None else {NAME: shard},
+    )
+
+
+def find_next(
+    state: ClusterState,
+    synced: tuple[Voter, ...] = (),
+    lost_ms: int = 0,
+    now_ms: int = 0,
+) -> ClaimShard | None:
+    """Return what is planned for the first shard."""
+    known = state.claim_shards.get(NAME)
+    epoch = known.epoch if known else 0
+    voters = (*known.voters, *known.previous) if known else ()
+    reports = {NAME: dict.fromkeys(synced, epoch)}
+    lost = dict.fromkeys(voters, lost_ms)
+    planned = plan_shards(state, reports, lost, now_ms)
+    return next((shard for shard in planned if shard.name == NAME), None)
+
+
+AGENTS = tuple(make_agent(number) for number in range(9))
+FIRST = find_next(make_state(*AGENTS))
+assert FIRST is not None
+VOTERS = FIRST.voters
+OTHERS = tuple(agent for agent in AGENTS if Voter(agent.name, 1) not in VOTERS)
+
+
+def lose(count: int, incarnation: int = 0) -> tuple[Agent, ...]:
+    """Return the agents without some voters, or with later starts of them."""
+    lost = {voter.agent for voter in VOTERS[:count]}
+    return tuple(
+        replace(agent, incarnation=incarnation) if agent.name in lost else agent
+        for agent in AGENTS
+        if agent.name not in lost or incarnation
+    )
+
+
+def test_voters_are_spread_and_the_epoch_is_new() -> None:
+    assert len(VOTERS) == CLAIM_VOTERS
+    held = Counter(CENTRES[int(voter.agent[1:]) % 3] for voter in VOTERS)
+    assert sorted(held.values()) == [1, 2, 2]
+    # No earlier shard of this name can have had this epoch.
+    assert FIRST is not None
+    assert FIRST.epoch == 8
+
+
+def test_voters_stay_when_agents_join() -> None:
+    joined = (*AGENTS, *(make_agent(number) for number in range(9, 40)))
+    assert find_next(make_state(*joined, shard=FIRST)) is None
+
+
+@pytest.mark.parametrize("incarnation", [0, 2])
+def test_two_lost_voters_are_replaced(incarnation: int) -> None:
+    state = make_state(*lose(2, incarnation), shard=FIRST)
+    planned = find_next(state)
+    assert planned is not None
+    assert planned.previous == VOTERS
+    assert set(VOTERS[2:]) < set(planned.voters)
+    assert len(planned.voters) == CLAIM_VOTERS
+    # No further change before a majority of the new voters is synced.
+    changing = replace(state, claim_shards={NAME: planned})
+    assert find_next(changing, planned.voters[:2]) is None
+    synced = find_next(changing, planned.voters[:3])
+    assert synced == replace(planned, previous=())
+
+
+def test_a_draining_voter_is_replaced_and_a_small_shard_grows() -> None:
+    leaving = VOTERS[0].agent
+    drained = [replace(agent, draining=agent.name == leaving) for agent in AGENTS]
+    planned = find_next(make_state(*drained, shard=FIRST))
+    assert planned is not None
+    assert set(planned.voters) > set(VOTERS[1:])
+    assert VOTERS[0] not in planned.voters
+    small = ClaimShard(NAME, 3, VOTERS[:2], ())
+    grown = find_next(make_state(*AGENTS, shard=small))
+    assert grown is not None
+    assert len(grown.voters) == CLAIM_VOTERS
+    assert set(VOTERS[:2]) < set(grown.voters)
+
+
+@pytest.mark.parametrize(
+    ("incarnation", "wait_ms"),
+    # Processes that started again have forgotten; others may only be cut off.
+    [(2, RECORD_LIFETIME_MS), (0, VOTER_LEASE_MS + RECORD_LIFETIME_MS)],
+)
+def test_a_lost_quorum_starts_anew_after_all_claims_have_ended(
+    incarnation: int, wait_ms: int
+) -> None:
+    state = make_state(*lose(3, incarnation), shard=FIRST)
+    assert find_next(state, lost_ms=500, now_ms=500 + wait_ms - 1) is None
+    planned = find_next(state, lost_ms=500, now_ms=500 + wait_ms)
+    assert planned is not None
+    assert planned.previous == ()
+    assert planned.epoch == 9
+    assert set(VOTERS[3:]) < set(planned.voters)
+
+
+def test_a_change_that_lost_its_voters_goes_back_to_the_earlier_ones() -> None:
+    new = (Voter("b1", 1), Voter("b2", 1), Voter("b3", 1))
+    shard = ClaimShard(NAME, 9, new, VOTERS)
+    state = make_state(*AGENTS, shard=shard)
+    wait_ms = VOTER_LEASE_MS + RECORD_LIFETIME_MS
+    assert find_next(state, now_ms=wait_ms - 1) is None
+    planned = find_next(state, now_ms=wait_ms)
+    assert planned is not None
+    # Some earlier voters may still vote in the earlier epoch: it must be sealed.
+    assert planned.previous == VOTERS
+
+
+def test_a_stable_shard_with_voters_out_of_sight_waits() -> None:
+    assert find_next(make_state(*lose(5), shard=FIRST), now_ms=10_000) is None
+
+
+def test_a_shard_of_a_removed_service_goes() -> None:
+    state = replace(make_state(*AGENTS, shard=FIRST), services={})
+    assert find_next(state) == ClaimShard(NAME, 9, (), ())
