--- a/src/lentilfork/cli/application.py
+++ b/src/lentilfork/cli/application.py
@@ -14,15 +14,15 @@
 from lentilfork.cli.presets import PresetList
 from lentilfork.cli.presets import PresetRemove
 from lentilfork.cli.presets import PresetUse
+from lentilfork.cli.processes import DumpView
+from lentilfork.cli.processes import VersionView
 from lentilfork.cli.services import ServiceApply
 from lentilfork.cli.services import ServiceList
 from lentilfork.cli.services import ServiceRemove
 from lentilfork.cli.services import ServiceShow
-from lentilfork.cli.views import DumpView
 from lentilfork.cli.views import HistoryView
 from lentilfork.cli.views import MembersView
 from lentilfork.cli.views import StatusView
-from lentilfork.cli.views import VersionView
 from lentilfork.cli.views import WatchView
 from lentilfork.errors import ExitCode
 
--- a/src/lentilfork/cli/changes.py
+++ b/src/lentilfork/cli/changes.py
@@ -70,9 +70,16 @@
         return Ok(change)
 
     async def submit(
-        self, client: ControllerClient, change: state_pb2.Change, what: str
+        self, client: ControllerClient, what: str, **kind: Any
     ) -> Result[None, Failure]:
-        """Submit a change, print its version and wait for it if asked to."""
+        """Submit a change, print its version and wait for it if asked to.
+
+        `what` tells what was changed; `kind` is the field of `Change` to set.
+        """
+        made = self.make_change(**kind)
+        if isinstance(made, Err):
+            return made
+        change = made.ok_value
         wait = parse_number("wait", self.option("wait") or "0")
         if isinstance(wait, Err):
             return wait
--- a/src/lentilfork/cli/presets.py
+++ b/src/lentilfork/cli/presets.py
@@ -45,11 +45,9 @@
         if isinstance(loaded, Err):
             return loaded
         definition = loaded.ok_value
-        change = self.make_change(apply_preset=definition.to_message())
-        if isinstance(change, Err):
-            return change
-        what = f"preset {definition.name}"
-        return await self.submit(client, change.ok_value, what)
+        return await self.submit(
+            client, f"preset {definition.name}", apply_preset=definition.to_message()
+        )
 
 
 class PresetUse(ChangeCommand):
@@ -68,10 +66,7 @@
     async def run_with(self, client: ControllerClient) -> Result[None, Failure]:
         """Submit the selection."""
         preset = self.argument("preset")
-        change = self.make_change(use_preset=preset)
-        if isinstance(change, Err):
-            return change
-        return await self.submit(client, change.ok_value, f"preset {preset} in use")
+        return await self.submit(client, f"preset {preset} in use", use_preset=preset)
 
 
 class PresetRemove(ChangeCommand):
@@ -90,10 +85,9 @@
     async def run_with(self, client: ControllerClient) -> Result[None, Failure]:
         """Submit the removal."""
         preset = self.argument("preset")
-        change = self.make_change(remove_preset=preset)
-        if isinstance(change, Err):
-            return change
-        return await self.submit(client, change.ok_value, f"preset {preset} removed")
+        return await self.submit(
+            client, f"preset {preset} removed", remove_preset=preset
+        )
 
 
 class PresetList(ClientCommand):
--- a/src/lentilfork/cli/services.py
+++ b/src/lentilfork/cli/services.py
@@ -48,11 +48,9 @@
         if isinstance(loaded, Err):
             return loaded
         definition = loaded.ok_value
-        change = self.make_change(apply_service=definition.to_message())
-        if isinstance(change, Err):
-            return change
-        what = f"service {definition.name}"
-        return await self.submit(client, change.ok_value, what)
+        return await self.submit(
+            client, f"service {definition.name}", apply_service=definition.to_message()
+        )
 
 
 class ServiceRemove(ChangeCommand):
@@ -71,10 +69,9 @@
     async def run_with(self, client: ControllerClient) -> Result[None, Failure]:
         """Submit the removal."""
         service = self.argument("service")
-        change = self.make_change(remove_service=service)
-        if isinstance(change, Err):
-            return change
-        return await self.submit(client, change.ok_value, f"service {service} removed")
+        return await self.submit(
+            client, f"service {service} removed", remove_service=service
+        )
 
 
 class ServiceList(ClientCommand):
