Show no lower generation after a controller restarts

It is now written with each batch of the log, and an entry is applied once that is synced. Ruled out: showing nothing until a leader was heard, which leaves operators blind without a majority.

The state machine and the test with real processes now follow each controller's generations across restarts. With the check of the synced index taken out the state machine fails ("c0 went from 7 to 6").

--- a/src/lentilfork/agreement/core.py
+++ b/src/lentilfork/agreement/core.py
@@ -4,7 +4,7 @@
 
 - a vote is answered and a term is acted in only after both were synced;
 - `lock` is held while a term changes or entries of a leader are taken;
-- `commit_index` never goes back, and only entries up to it are applied;
+- `commit_index` never goes back; entries are applied once it is on disk;
 - the state is changed by applying entries and installing snapshots alone.
 """
 
@@ -196,9 +196,17 @@
         self.configurations.add_entries(entries)
 
     def commit(self, index: int) -> None:
-        """Commit and apply up to an index that the log holds."""
+        """Commit up to an index that the log holds; applied once that is synced."""
         self.commit_index = max(self.commit_index, min(index, self.log.last_index))
-        while self.applied_index < self.commit_index:
+        self.log.note_commit(self.commit_index)
+
+    def apply_committed(self) -> None:
+        """Apply what is committed and on disk known to be so.
+
+        Nothing else is shown: after a restart this replica holds at least what it
+        showed before.
+        """
+        while self.log.base_index <= self.applied_index < self.log.synced_commit_index:
             position = self.applied_index - self.log.base_index
             self.apply(self.log.entries[position])
 
--- a/src/lentilfork/agreement/leadership.py
+++ b/src/lentilfork/agreement/leadership.py
@@ -62,7 +62,7 @@
 
     core: Core
     term: int
-    # Index of the entry that opens the term; committed, it commits all before.
+    # Index of the entry that opens the term; committed, it commits all before it.
     opening_index: int
     peers: dict[str, Peer]
     tasks: list[asyncio.Task[None]]
@@ -84,8 +84,8 @@
 
     @property
     def is_open(self) -> bool:
-        """Whether the entry that opens the term is committed."""
-        return self.is_current and self.core.commit_index >= self.opening_index
+        """Whether the entry that opens the term is committed and applied."""
+        return self.is_current and self.core.applied_index >= self.opening_index
 
     def start(self) -> None:
         """Open the term and start the tasks."""
--- a/src/lentilfork/agreement/log.py
+++ b/src/lentilfork/agreement/log.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Sequence
 from typing import Final
 
@@ -33,6 +34,11 @@
     pending: list[agreement_pb2.LogEntry]
     # Memory and disk agree up to this index.
     synced_index: int
+    # Entries up to here are committed, and on disk known to be so.
+    commit_index: int
+    synced_commit_index: int
+    # Called after a sync by the task that writes.
+    on_synced: Callable[[], None]
     # Guards the file in use: one write at a time.
     write_lock: asyncio.Lock
     # Set when there is something to write.
@@ -48,6 +54,12 @@
         self.snapshot = stored.snapshot
         self.pending = []
         self.synced_index = self.last_index
+        snapshot_index = stored.snapshot.last_index if stored.snapshot else 0
+        self.commit_index = min(
+            max(stored.commit_index, snapshot_index), self.last_index
+        )
+        self.synced_commit_index = self.commit_index
+        self.on_synced = lambda: None
         self.write_lock = asyncio.Lock()
         self.wake = asyncio.Event()
         self.changed = asyncio.Condition()
@@ -98,25 +110,34 @@
         self.pending.extend(entries)
         self.wake.set()
 
+    def note_commit(self, index: int) -> None:
+        """Write down that entries up to an index are committed."""
+        if index > self.commit_index:
+            self.commit_index = index
+            self.wake.set()
+
     async def write_entries(self) -> None:
-        """Write pending entries for as long as the replica runs."""
+        """Write what is pending for as long as the replica runs."""
         while True:
             await self.wake.wait()
             self.wake.clear()
             async with self.write_lock:
                 await self.write_pending()
+            self.on_synced()
             await self.notify()
 
     async def write_pending(self) -> None:
         """Write what is pending as one batch; a failure leaves it uncounted."""
         batch, self.pending = self.pending, []
-        if not batch:
+        commit_index = self.commit_index
+        if not batch and commit_index == self.synced_commit_index:
             return
         try:
-            await self.storage.append_entries(batch)
+            await self.storage.append_entries(batch, commit_index)
         except StorageError:
             # `recover` writes the whole log anew.
             return
+        self.synced_commit_index = commit_index
         self.mark_synced()
 
     def mark_synced(self) -> None:
@@ -160,6 +181,7 @@
                 self.entries.clear()
                 self.base_index = snapshot.last_index
                 self.base_term = snapshot.last_term
+            self.commit_index = max(self.commit_index, snapshot.last_index)
             await self.rewrite(snapshot)
 
     async def rewrite(
@@ -173,10 +195,15 @@
         self.pending = []
         self.synced_index = min(self.synced_index, self.last_index)
         stored = StoredLog(
-            self.base_index, self.base_term, list(self.entries), snapshot
+            self.base_index,
+            self.base_term,
+            self.commit_index,
+            list(self.entries),
+            snapshot,
         )
         try:
             await self.storage.rewrite(stored, changed, recovering)
+            self.synced_commit_index = stored.commit_index
             self.mark_synced()
         finally:
             await self.notify()
@@ -188,4 +215,5 @@
                 await self.rewrite(self.snapshot, recovering=True)
             except StorageError:
                 return False
+        self.on_synced()
         return True
--- a/src/lentilfork/agreement/replica.py
+++ b/src/lentilfork/agreement/replica.py
@@ -170,6 +170,8 @@
         core.term = core.storage.vote.term
         core.voted_for = core.storage.vote.candidate
         core.log = Log(core.storage, stored)
+        core.log.on_synced = core.apply_committed
+        core.commit_index = core.log.commit_index
         index = 0
         if stored.snapshot is not None:
             peer = core.storage.files.location
@@ -184,6 +186,7 @@
         )
         # An entry may have outlived the vote file; its term is past in any case.
         core.term = max(core.term, core.log.last_term)
+        core.apply_committed()
         return Ok(None)
 
     async def stop(self) -> None:
--- a/src/lentilfork/agreement/storage.py
+++ b/src/lentilfork/agreement/storage.py
@@ -61,6 +61,8 @@
 
     base_index: int = 0
     base_term: int = 0
+    # Entries up to here are known to be committed.
+    commit_index: int = 0
     entries: list[agreement_pb2.LogEntry] = field(default_factory=list)
     snapshot: agreement_pb2.StoredSnapshot | None = None
 
@@ -178,6 +180,7 @@
             if number == 0:
                 stored.base_index = batch.base_index
                 stored.base_term = batch.base_term
+            stored.commit_index = max(stored.commit_index, batch.commit_index)
             for entry in batch.entries:
                 self.put_entry(name, stored, entry)
 
@@ -238,10 +241,12 @@
         self.vote = agreement_pb2.StoredVote(term=term, candidate=candidate)
         await self.replace(VOTE, [self.vote])
 
-    async def append_entries(self, entries: Sequence[agreement_pb2.LogEntry]) -> None:
+    async def append_entries(
+        self, entries: Sequence[agreement_pb2.LogEntry], commit_index: int = 0
+    ) -> None:
         """Sync a batch of entries as one frame; StorageError if that fails."""
         self.check_writable()
-        batch = agreement_pb2.StoredEntries(entries=entries)
+        batch = agreement_pb2.StoredEntries(entries=entries, commit_index=commit_index)
         data = encode_frame(batch.SerializeToString())
         name = make_log_name(self.log_number)
         try:
@@ -266,6 +271,7 @@
             base_index=stored.base_index,
             base_term=stored.base_term,
             entries=stored.entries,
+            commit_index=stored.commit_index,
         )
         self.log_bytes = await self.replace(make_log_name(number), [first], recovering)
         self.log_number = number
--- a/tests/agreement/cluster.py
+++ b/tests/agreement/cluster.py
@@ -52,6 +52,8 @@
         self.accepted: dict[str, int] = {}
         self.attempts: Counter[str] = Counter()
         self.refusals: Counter[str] = Counter()
+        # Highest generation each controller showed from its present disk.
+        self.shown: dict[str, int] = {}
         self.proposals: set[asyncio.Task[None]] = set()
 
     def run(self, seconds: float) -> None:
@@ -91,11 +93,12 @@
             files=files,
         )
         replica.subscribe_applied(self.check_entry)
-        replica.subscribe(lambda old, new: check_growth(old.generation, new.generation))
         result = self.loop.run_until_complete(replica.start())
         if self.disks[name].error and result.is_err():
             return
         assert result == Ok(None), result
+        self.check_growth(name, replica.state.cluster.generation)
+        replica.subscribe(lambda _old, new: self.check_growth(name, new.generation))
         self.files[name] = files
         self.replicas[name] = replica
         self.network.replicas[self.addresses[name]] = replica
@@ -106,6 +109,17 @@
             if name not in self.replicas:
                 self.start(name)
 
+    def check_growth(self, name: str, generation: int) -> None:
+        """Check that a controller never shows less than before, restarts included."""
+        before = self.shown.get(name, 0)
+        assert generation >= before, f"{name} went from {before} to {generation}"
+        self.shown[name] = generation
+
+    def replace_disk(self, name: str, content: dict[str, bytes]) -> None:
+        """Put an empty or an old disk in place of a controller's."""
+        self.disks[name].restore(content)
+        self.shown.pop(name, None)
+
     def crash(self, name: str) -> None:
         """Kill a controller: what it had not synced is lost."""
         replica = self.replicas.pop(name)
@@ -201,11 +215,6 @@
         self.loop.close()
 
 
-def check_growth(old: int, new: int) -> None:
-    """Check that a generation grew."""
-    assert new > old, f"generation went from {old} to {new}"
-
-
 def make_change(number: int, operator: str = "ana") -> state_pb2.Change:
     """Return a change that applies one of a few services."""
     return state_pb2.Change(
--- a/tests/agreement/test_machine.py
+++ b/tests/agreement/test_machine.py
@@ -117,7 +117,7 @@
         """
         if name in self.cluster.replicas:
             self.cluster.crash(name)
-        self.cluster.disks[name].restore(self.backups.get(name, {}) if old else {})
+        self.cluster.replace_disk(name, self.backups.get(name, {}) if old else {})
         self.cluster.start(name)
 
     def teardown(self) -> None:
--- a/tests/agreement/test_processes.py
+++ b/tests/agreement/test_processes.py
@@ -43,8 +43,8 @@
         self.addresses = {name: self.block.take_address(7000) for name in NAMES}
         # By the two ends.
         self.proxies: dict[tuple[str, str], Proxy] = {}
-        # Generations each process showed, in order, for each of its lives.
-        self.generations: dict[tuple[str, int], list[int]] = {}
+        # Generations each controller showed, in order, restarts included.
+        self.generations: dict[str, list[int]] = {}
         self.kills = 0
 
     def start_all(self) -> None:
@@ -131,11 +131,9 @@
     async def watch(self, name: str) -> None:
         """Note the generations that a process shows."""
         while True:
-            pid = self.get_process(name).pid
             dump = await self.dump(name)
-            if dump and pid == self.get_process(name).pid:
-                shown = self.generations.setdefault((name, pid), [])
-                shown.append(dump["generation"])
+            if dump:
+                self.generations.setdefault(name, []).append(dump["generation"])
             await asyncio.sleep(0.05)
 
     async def submit(self, name: str, change: state_pb2.Change) -> Any:
@@ -227,6 +225,8 @@
     replaced = controllers.get_process("control-2")
     replaced.kill()
     shutil.rmtree(controllers.get_folder("control-2"))
+    # With the folder went what it had shown.
+    controllers.generations["replaced"] = controllers.generations.pop("control-2")
     replaced.start()
     await controllers.wait_voters()
     await kill_at_random(controllers, random)
--- a/tests/agreement/test_replicas.py
+++ b/tests/agreement/test_replicas.py
@@ -155,7 +155,7 @@
     accept(cluster, leader, 1)
     # Only the leader and `lost` hold the change. `lost` forgets, the leader dies.
     cluster.crash(lost)
-    cluster.disks[lost].restore(backup if old else {})
+    cluster.replace_disk(lost, backup if old else {})
     cluster.crash(leader)
     cluster.start(lost)
     cluster.network.heal()
@@ -173,7 +173,7 @@
     cluster.network.refused_methods.add("Join")
     cluster.crash(witness)
     cluster.crash(lost)
-    cluster.disks[lost].restore({})
+    cluster.replace_disk(lost, {})
     cluster.start(lost)
     replica = cluster.replicas[leader]
     answer = cluster.loop.run_until_complete(replica.propose(make_change(1)))
@@ -191,7 +191,7 @@
     for name in list(cluster.replicas):
         cluster.crash(name)
     # c0 has the lowest name: it alone may write the first entry of all.
-    cluster.disks["c0"].restore({})
+    cluster.replace_disk("c0", {})
     cluster.start_all()
     cluster.settle()
     cluster.close()
@@ -204,7 +204,7 @@
     accept(cluster, leader, 2)
     cluster.network.heal()
     cluster.crash(lost)
-    cluster.disks[lost].restore({})
+    cluster.replace_disk(lost, {})
     cluster.start(lost)
     cluster.run_until(lambda: cluster.replicas[lost].core.is_voter)
     cluster.crash(leader)
@@ -223,6 +223,7 @@
     disk_id = cluster.replicas[lost].core.storage.disk_id
     cluster.crash(lost)
     # The disk had reported the sync; same files, without what came last.
+    cluster.shown.clear()
     disk.content.update(held)
     cluster.start(lost)
     cluster.run_until(lambda: cluster.replicas[lost].core.storage.disk_id != disk_id, 5)
