Sharpen the tests of claims by breaking the code

Cause: three of eighteen broken versions of voter, records and planner passed. Change: ages go through the message; placement is judged with 60 agents; a stable shard out of sight has as few voters left as make a difference.

--- a/tests/claims/test_plan.py
+++ b/tests/claims/test_plan.py
@@ -80,9 +80,11 @@
 
 
 def test_voters_are_spread_and_the_epoch_is_new() -> None:
-    assert len(VOTERS) == CLAIM_VOTERS
-    held = Counter(CENTRES[int(voter.agent[1:]) % 3] for voter in VOTERS)
-    assert sorted(held.values()) == [1, 2, 2]
+    many = make_state(*map(make_agent, range(60)))
+    for shard in plan_shards(many, {}, {}, 0):
+        assert len(shard.voters) == CLAIM_VOTERS
+        held = Counter(CENTRES[int(voter.agent[1:]) % 3] for voter in shard.voters)
+        assert sorted(held.values()) == [1, 2, 2]
     # No earlier shard of this name can have had this epoch.
     assert FIRST is not None
     assert FIRST.epoch == 8
@@ -152,7 +154,8 @@
 
 
 def test_a_stable_shard_with_voters_out_of_sight_waits() -> None:
-    assert find_next(make_state(*lose(5), shard=FIRST), now_ms=10_000) is None
+    shard = ClaimShard(NAME, 8, VOTERS[:4], ())
+    assert find_next(make_state(*lose(2), shard=shard), now_ms=10_000) is None
 
 
 def test_a_shard_of_a_removed_service_goes() -> None:
--- a/tests/claims/test_voter.py
+++ b/tests/claims/test_voter.py
@@ -14,7 +14,9 @@
 from lentilfork.claims.records import Attempt
 from lentilfork.claims.records import Record
 from lentilfork.claims.records import RecordTable
+from lentilfork.claims.records import decode_record
 from lentilfork.claims.records import encode_attempt
+from lentilfork.claims.records import encode_record
 from lentilfork.claims.voter import VOTER_LEASE_S
 from lentilfork.claims.voter import encode_epoch
 from lentilfork.counters import Counters
@@ -185,8 +187,9 @@
 
 def test_a_merged_record_keeps_its_age() -> None:
     table = RecordTable()
-    table.merge([Record(KEY, used=5.0, holders={FIRST.id: FIRST})], 10.0)
-    assert table.find(b"other", 4.9 + RECORD_LIFETIME_S) is None
+    record = Record(KEY, used=5.0, holders={FIRST.id: FIRST})
+    table.merge([decode_record(encode_record(record, 10.0), 10.0)], 10.0)
+    table.expire(4.9 + RECORD_LIFETIME_S)
     assert len(table) == 1
     table.expire(5.0 + RECORD_LIFETIME_S)
     assert len(table) == 0
