--- /dev/null
+++ b/tests/bench/test_backend_server.py
@@ -0,0 +1,130 @@
+"""The backend server stand-in: what runs stands in its journal, nothing else."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+import grpc.aio
+import pytest
+
+from lentilfork.bench.addresses import AddressBlock
+from lentilfork.bench.backend_server import BackendServer
+from lentilfork.bench.backend_server import BackendServerConfig
+from lentilfork.bench.journals import read_journals
+from lentilfork.bench.processes import wait_until
+from lentilfork.schema import backend_pb2
+from lentilfork.schema import backend_pb2_grpc
+
+SERVICE_TIME_MS = 1.0
+WAIT_S = 10.0
+LAG_S = 30.0
+
+
+class Bench:
+    """A server with one slot, room for one more in its queue, and a client."""
+
+    def __init__(self, folder: Path) -> None:
+        self.journal = folder / "journal"
+        self.addresses = AddressBlock()
+        self.config = BackendServerConfig(
+            name="server",
+            address=self.addresses.take_address(5000),
+            journal=self.journal,
+            queue=1,
+            service_time_ms=SERVICE_TIME_MS,
+            distribution="fixed",
+        )
+        self.server = BackendServer(self.config)
+        self.channel = grpc.aio.insecure_channel(self.config.address)
+        self.stub: Any = backend_pb2_grpc.BackendServerStub(self.channel)
+
+    async def call(self, request_id: str, timeout_s: float = 10.0) -> str:
+        """Return the name of the status one request ends with."""
+        request = backend_pb2.BackendRequest(
+            method="POST", path="/reports", query=[f"id={request_id}"]
+        )
+        try:
+            await self.stub.Call(request, timeout=timeout_s)
+        except grpc.aio.AioRpcError as error:
+            return error.code().name
+        return "OK"
+
+    def list_journal(self) -> list[tuple[str, str]]:
+        """Return id and outcome of each run."""
+        runs = read_journals([self.journal])
+        return [(run.query[0].removeprefix("id="), run.outcome) for run in runs]
+
+    async def load(self) -> tuple[int, int]:
+        """Return running and queued requests as the load endpoint tells them."""
+        report = await self.stub.Load(backend_pb2.LoadRequest())
+        return report.running, report.queued
+
+
+@pytest.fixture
+async def bench(tmp_path: Path) -> AsyncIterator[Bench]:
+    bench = Bench(tmp_path)
+    await bench.server.start()
+    yield bench
+    await bench.channel.close(None)
+    await bench.server.stop(0)
+
+
+async def test_shed_requests_did_not_run(bench: Bench) -> None:
+    bench.server.apply({"frozen": True})
+    ids = ["a", "b", "c", "d"]
+    calls = [asyncio.create_task(bench.call(name)) for name in ids]
+    await wait_until(lambda: bench.server.counters.get("shed") == 2, WAIT_S, "shedding")
+    bench.server.apply({"frozen": False})
+    statuses = await asyncio.gather(*calls)
+    assert sorted(statuses) == ["OK", "OK", "RESOURCE_EXHAUSTED", "RESOURCE_EXHAUSTED"]
+    ran = [name for name, status in zip(ids, statuses, strict=True) if status == "OK"]
+    assert sorted(bench.list_journal()) == [(name, "done") for name in ran]
+
+
+async def test_deadline_cancels_the_run_and_frees_the_slot(bench: Bench) -> None:
+    bench.server.apply({"frozen": True})
+    late = asyncio.create_task(bench.call("late", timeout_s=1.0))
+    await wait_until(lambda: bench.server.slots.running == 1, WAIT_S, "a run")
+    assert await late == "DEADLINE_EXCEEDED"
+    await wait_until(lambda: bench.server.slots.running == 0, WAIT_S, "a free slot")
+    bench.server.apply({"frozen": False})
+    assert await bench.call("next") == "OK"
+    assert bench.list_journal() == [("late", "cancelled"), ("next", "done")]
+
+
+async def test_cancelled_in_the_queue_did_not_run(bench: Bench) -> None:
+    bench.server.apply({"frozen": True})
+    slots = bench.server.slots
+    first = asyncio.create_task(bench.call("first"))
+    await wait_until(lambda: slots.running == 1, WAIT_S, "a run")
+    queued = asyncio.create_task(bench.call("queued", timeout_s=1.0))
+    await wait_until(lambda: len(slots.waiting) == 1, WAIT_S, "a full queue")
+    assert await queued == "DEADLINE_EXCEEDED"
+    await wait_until(lambda: not slots.waiting, WAIT_S, "an empty queue")
+    second = asyncio.create_task(bench.call("second"))
+    await wait_until(lambda: len(slots.waiting) == 1, WAIT_S, "a full queue")
+    bench.server.apply({"frozen": False})
+    assert [await first, await second] == ["OK", "OK"]
+    assert bench.list_journal() == [("first", "done"), ("second", "done")]
+
+
+async def test_fail_fast_server_runs_nothing(bench: Bench) -> None:
+    bench.server.apply({"fail_fast": True})
+    assert await bench.call("a") == "INTERNAL"
+    assert bench.list_journal() == []
+
+
+@pytest.mark.parametrize(
+    ("behaviour", "told"),
+    [({}, (1, 0)), ({"load_idle": True}, (0, 0)), ({"load_lag_s": LAG_S}, (0, 0))],
+)
+async def test_load_endpoint_tells_lags_or_lies(
+    bench: Bench, behaviour: dict[str, Any], told: tuple[int, int]
+) -> None:
+    bench.server.apply({**behaviour, "frozen": True})
+    running = asyncio.create_task(bench.call("a"))
+    await wait_until(lambda: bench.server.slots.running == 1, WAIT_S, "a run")
+    assert await bench.load() == told
+    bench.server.apply({"frozen": False})
+    assert await running == "OK"
--- /dev/null
+++ b/tests/bench/test_judgement.py
@@ -0,0 +1,91 @@
+"""Judges of a run: what counts as doubled, mixed, contradicted or lost."""
+
+import json
+from pathlib import Path
+
+import pytest
+
+from lentilfork.bench.content import ShortAnswer
+from lentilfork.bench.content import make_content
+from lentilfork.bench.journals import Journal
+from lentilfork.bench.journals import read_journals
+from lentilfork.bench.outcomes import Outcome
+from lentilfork.bench.outcomes import Record
+from lentilfork.bench.outcomes import Reply
+from lentilfork.bench.outcomes import judge_reply
+from lentilfork.bench.verdict import judge_run
+from lentilfork.bench.workload import Kind
+from lentilfork.bench.workload import Request
+
+CHANGE = Request("warnings", Kind.CHANGE, "POST", "/reports", ("id=a",))
+DOWNLOAD = Request("artwork", Kind.DOWNLOAD, "GET", "/artwork/pack-1", ())
+OWN = ShortAnswer("POST", "/reports", ("id=a",), "server", 1).encode()
+OTHERS = ShortAnswer("POST", "/reports", ("id=b",), "server", 1).encode()
+FIRST = make_content("/artwork/pack-1", 1)
+SECOND = make_content("/artwork/pack-1", 2)
+MIXED = FIRST[:20_480] + SECOND[20_480:]
+OTHER_PACK = make_content("/artwork/pack-2", 1)
+
+REPLIES: dict[str, tuple[Request, Reply, Outcome]] = {
+    "own answer": (CHANGE, Reply(68, OWN), Outcome.COMPLETE),
+    "another's answer": (CHANGE, Reply(68, OTHERS), Outcome.WRONG),
+    "no JSON": (CHANGE, Reply(68, b"\xff"), Outcome.WRONG),
+    "not run": (CHANGE, Reply(163, b"not run"), Outcome.NOT_RUN),
+    "outcome unknown": (CHANGE, Reply(164, b""), Outcome.UNKNOWN),
+    "failed": (CHANGE, Reply(160, b""), Outcome.FAILED),
+    "whole pack": (DOWNLOAD, Reply(69, SECOND), Outcome.COMPLETE),
+    "two versions": (DOWNLOAD, Reply(69, MIXED), Outcome.WRONG),
+    "last block missing": (DOWNLOAD, Reply(69, FIRST[:-64]), Outcome.WRONG),
+    "another pack": (DOWNLOAD, Reply(69, OTHER_PACK), Outcome.WRONG),
+    "cut at a later block": (DOWNLOAD, Reply(163, b"not run", 7), Outcome.BROKEN),
+    "told to start anew": (DOWNLOAD, Reply(136, b"", 7), Outcome.RESTART),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("case", REPLIES)
+def test_reply_is_judged_by_its_content(case: str) -> None:
+    request, reply, outcome = REPLIES[case]
+    assert judge_reply(request, reply) is outcome
+
+
+def write_journal(path: Path, server: str, ids: list[str]) -> Path:
+    """Write a journal in which each request runs and ends."""
+    journal = Journal(path, server)
+    for request_id in ids:
+        run = journal.begin(b"key", "POST", "/reports", [f"id={request_id}"])
+        journal.end(run, "done")
+    journal.close()
+    return path
+
+
+# Journals of two servers, the caller's outcome, then wrong and doubled.
+RUNS: dict[str, tuple[list[str], list[str], Outcome, int, int]] = {
+    "ran once": (["a"], [], Outcome.COMPLETE, 0, 0),
+    "ran on two servers": (["a"], ["a"], Outcome.COMPLETE, 0, 1),
+    "ran twice on one server": (["a", "a"], [], Outcome.COMPLETE, 0, 1),
+    "told not run and did not": (["b"], [], Outcome.NOT_RUN, 0, 0),
+    "told not run but ran": ([], ["a"], Outcome.NOT_RUN, 1, 0),
+    "answered but never ran": (["b"], [], Outcome.COMPLETE, 1, 0),
+    "told unknown and ran": (["a"], [], Outcome.UNKNOWN, 0, 0),
+}
+
+
+@pytest.mark.parametrize("case", RUNS)
+def test_journals_judge_what_callers_were_told(tmp_path: Path, case: str) -> None:
+    first, second, outcome, wrong, doubled = RUNS[case]
+    paths = [
+        write_journal(tmp_path / "1.journal", "server-1", first),
+        write_journal(tmp_path / "2.journal", "server-2", second),
+    ]
+    record = Record(CHANGE, 0.0, 0.1, outcome)
+    verdict = judge_run([record], read_journals(paths))
+    assert (verdict.wrong, verdict.doubled) == (wrong, doubled)
+
+
+def test_journal_of_a_killed_server_keeps_what_it_began(tmp_path: Path) -> None:
+    path = write_journal(tmp_path / "1.journal", "server-1", ["a"])
+    ended = path.read_text().splitlines()[1]
+    path.write_text(path.read_text().replace(ended, ended[: len(ended) // 2]))
+    (run,) = read_journals([path])
+    assert (run.query, run.outcome, run.ended) == (("id=a",), "", None)
+    assert json.loads(path.read_text().splitlines()[0])["event"] == "begin"
