--- a/src/lentilfork/settings.py
+++ b/src/lentilfork/settings.py
@@ -201,6 +201,11 @@
 )
 
 
+def show_key(key: str) -> str:
+    """Return a key for a message of one line."""
+    return key if key.isprintable() else json.dumps(key)
+
+
 def describe_validation_error(error: ValidationError, tags: frozenset[str]) -> str:
     """Return the first problem of a validation error as one line.
 
@@ -211,7 +216,7 @@
     keys = [str(part) for part in first["loc"]]
     if keys and keys[0] in tags:
         keys = keys[1:]
-    key = ".".join(keys)
+    key = show_key(".".join(keys))
     match first["type"]:
         case "extra_forbidden":
             return f"key {key}: unknown; expected no such key"
@@ -258,9 +263,12 @@
         place = f"line {error.lineno}, column {error.colno}"
         return refuse(f"{place}: {error.msg}; expected JSON")
     except KeyError as error:
-        return refuse(f"key {error.args[0]}: repeated; expected it once")
+        return refuse(f"key {show_key(error.args[0])}: repeated; expected it once")
     except ValidationError as error:
         return refuse(describe_validation_error(error, tags))
+    except ValueError as error:
+        # Numbers with thousands of digits.
+        return refuse(f"{error}; expected JSON with shorter numbers")
 
 
 def load_settings(
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -178,7 +178,10 @@
     ("text", "expected"),
     [
         ('{"role": "balancer",', "line 1, column 21: "),
-        ('{"role": "agent", "role": "agent"}', "key role: repeated; expected it once"),
+        (
+            '{"role": "agent", "role": "agent"}',
+            "key role: repeated; expected it once",
+        ),
         ("[" * 100_000, "nested too deeply; expected"),
         ("[]", "key -: Input should be an object"),
     ],
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -4,6 +4,12 @@
 from pathlib import Path
 
 import pytest
+from hypothesis import HealthCheck
+from hypothesis import example
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+from result import Err
 
 from lentilfork.settings import load_settings
 
@@ -75,9 +81,9 @@
 
 
 def test_balancer_settings_are_accepted(tmp_path: Path) -> None:
-    settings = load_settings(write_settings(tmp_path, BALANCER)).unwrap()
-    assert settings.role == "balancer"
-    assert settings.name == "entry-1"
+    loaded = load_settings(write_settings(tmp_path, BALANCER)).unwrap()
+    assert loaded.role == "balancer"
+    assert loaded.name == "entry-1"
 
 
 @pytest.mark.parametrize("case", REFUSED)
@@ -94,3 +100,31 @@
     document = {name: value for name, value in CONTROLLER.items() if name != key}
     failure = load_settings(write_settings(tmp_path, document)).unwrap_err()
     assert failure.message == f"key {key}: missing; expected a value"
+
+
+# Values of any kind at any key, known ones more often than others.
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+KEYS = st.sampled_from(sorted({*BALANCER, *CONTROLLER, "log", "tls"})) | st.text()
+DOCUMENTS = st.dictionaries(KEYS, VALUES, max_size=4).map(
+    lambda change: json.dumps({**CONTROLLER, **change}).encode()
+)
+
+
+@given(content=DOCUMENTS | st.binary())
+@example(content=b"1" * 5_000)
+@example(content=json.dumps({**CONTROLLER, "two\nlines": 1}).encode())
+@example(content=b'{"two\\nlines": 1, "two\\nlines": 2}')
+@example(content=b'{"role": "\\ud800"}')
+@settings(deadline=None, suppress_health_check=[HealthCheck.function_scoped_fixture])
+def test_any_content_is_accepted_or_refused_in_one_line(
+    tmp_path: Path, content: bytes
+) -> None:
+    path = tmp_path / "settings.json"
+    path.write_bytes(content)
+    loaded = load_settings(path)
+    if isinstance(loaded, Err):
+        assert len(str(loaded.err_value).splitlines()) == 1
