Forget a leader that fell silent

A follower kept the address of a leader that was gone and passed changes to it, so without a majority it answered "unknown" to changes that nobody had written. It now forgets the leader after an election timeout and refuses such changes for good.

--- a/src/lentilfork/agreement/core.py
+++ b/src/lentilfork/agreement/core.py
@@ -175,6 +175,11 @@
         for listener in self.role_listeners:
             listener(role)
 
+    def forget_leader(self) -> None:
+        """Know no leader: it fell silent, stepped down or its term has passed."""
+        self.leader = ""
+        self.leader_address = ""
+
     async def adopt_term(self, term: int, candidate: str = "") -> None:
         """Enter a term, or vote in it; the lock is held, StorageError on failure.
 
@@ -182,8 +187,7 @@
         the vote is being synced.
         """
         if term > self.term:
-            self.leader = ""
-            self.leader_address = ""
+            self.forget_leader()
         self.term = term
         self.voted_for = candidate
         if candidate != self.name:
--- a/src/lentilfork/agreement/election.py
+++ b/src/lentilfork/agreement/election.py
@@ -48,7 +48,10 @@
             await self.wait_silence()
             hurried = self.hurry.is_set()
             self.hurry.clear()
-            if core.role is Role.LEADER or not core.is_voter:
+            if core.role is Role.LEADER:
+                continue
+            core.forget_leader()
+            if not core.is_voter:
                 continue
             if core.storage.failure is not None:
                 continue
--- a/src/lentilfork/agreement/joining.py
+++ b/src/lentilfork/agreement/joining.py
@@ -49,7 +49,7 @@
     core: Core
     proposals: Proposals
     get_leadership: Callable[[], Leadership | None]
-    # Number of voters this system was set up with, as far as this leader knows.
+    # Held while the next step for one replica is decided and written.
     admitting: asyncio.Lock
 
     def __init__(
--- a/src/lentilfork/agreement/leadership.py
+++ b/src/lentilfork/agreement/leadership.py
@@ -222,8 +222,7 @@
                 return
             log.warning("stepped down", term=self.term, reason=reason)
             core.counters.add("agreement_step_downs")
-            core.leader = ""
-            core.leader_address = ""
+            core.forget_leader()
             core.change_role(Role.FOLLOWER)
 
     async def watch_syncs(self) -> None:
--- a/tests/agreement/test_replicas.py
+++ b/tests/agreement/test_replicas.py
@@ -242,6 +242,11 @@
     replica = cluster.replicas[leader]
     answer = cluster.loop.run_until_complete(replica.propose(make_change(2)))
     assert isinstance(answer, Err)
+    assert answer.err_value.unknown, "the leader had written it to its log"
+    follower = next(item for item in cluster.replicas.values() if item is not replica)
+    answer = cluster.loop.run_until_complete(follower.propose(make_change(3)))
+    assert isinstance(answer, Err)
+    assert not answer.err_value.unknown, "no leader is left to write it"
     cluster.settle()
     cluster.close()
 
