--- a/src/lentilfork/claims/plan.py
+++ b/src/lentilfork/claims/plan.py
@@ -27,6 +27,7 @@
 from lentilfork.claims.peers import compute_majority
 from lentilfork.claims.records import RECORD_LIFETIME_S
 from lentilfork.claims.voter import VOTER_LEASE_S
+from lentilfork.state.model import Agent
 from lentilfork.state.model import ClaimShard
 from lentilfork.state.model import ClusterState
 from lentilfork.state.model import ShardName
@@ -96,6 +97,10 @@
     now_ms: int
     # Data centre of each agent that may become a voter.
     candidates: dict[Voter, str]
+    # The agents of `candidates`, by name.
+    by_name: dict[str, Agent]
+    # The same by data centre.
+    by_centre: dict[str, list[Agent]]
     # Number of candidates in each data centre.
     available: Counter[str]
 
@@ -110,11 +115,14 @@
         self.reports = reports
         self.lost_since_ms = lost_since_ms
         self.now_ms = now_ms
+        self.by_name = {
+            agent.name: agent for agent in state.agents.values() if not agent.draining
+        }
         self.candidates = {
             Voter(agent.name, agent.incarnation): agent.data_centre
-            for agent in state.agents.values()
-            if not agent.draining
+            for agent in self.by_name.values()
         }
+        self.by_centre = group_by_centre(self.by_name.values())
         self.available = Counter(self.candidates.values())
 
     def plan(self) -> list[ClaimShard]:
@@ -219,11 +227,18 @@
 
     def is_settled(self, shard: ClaimShard) -> bool:
         """Tell whether a shard has all the voters it should, well spread."""
-        return (
-            len(shard.voters) >= self.wanted
-            and all(voter in self.candidates for voter in shard.voters)
-            and self.find_surplus(shard.voters) is None
-        )
+        if len(shard.voters) < self.wanted:
+            return False
+        # Runs for each shard in each call: names hash faster than voters.
+        agents = [self.by_name.get(voter.agent) for voter in shard.voters]
+        held: dict[str, int] = {}
+        for agent, voter in zip(agents, shard.voters, strict=True):
+            if agent is None or agent.incarnation != voter.incarnation:
+                return False
+            held[agent.data_centre] = held.get(agent.data_centre, 0) + 1
+        if max(held.values()) < compute_majority(shard.voters):
+            return True
+        return self.find_surplus(shard.voters) is None
 
     def create(self) -> Iterator[ClaimShard]:
         """Yield the shards that services lack."""
@@ -316,38 +331,49 @@
         """
         voters = list(kept)
         held = Counter(self.find_centre(voter) for voter in kept)
-        scores = {
-            voter: compute_score(name, voter)
-            for voter in self.candidates.keys() - set(kept)
-        }
-        # More than all places even if one data centre were to fill them.
-        best_of = {
-            centre: nsmallest(CLAIM_VOTERS, members, key=scores.__getitem__)
-            for centre, members in group_by_centre(scores, self.candidates).items()
-        }
-        ranked = sorted(chain.from_iterable(best_of.values()), key=scores.__getitem__)
+        names = {voter.agent for voter in kept}
+        prefix = f"{name.service}/{name.index}/".encode()
+        ranked = [
+            agent
+            for members in self.by_centre.values()
+            for agent in self.rank_agents(members, prefix, names)
+        ]
         while ranked and len(voters) < CLAIM_VOTERS:
-            # The first of the ranked in a data centre with the fewest voters.
-            best = min(ranked, key=lambda voter: held[self.candidates[voter]])
+            # The best ranked of a data centre with the fewest voters.
+            best = min(
+                ranked,
+                key=lambda agent: (
+                    held[agent.data_centre],
+                    compute_score(prefix, agent),
+                ),
+            )
             ranked.remove(best)
-            held[self.candidates[best]] += 1
-            voters.append(best)
+            held[best.data_centre] += 1
+            voters.append(Voter(best.name, best.incarnation))
         return tuple(sorted(voters))
 
+    def rank_agents(
+        self, members: list[Agent], prefix: bytes, kept: set[str]
+    ) -> list[Agent]:
+        """Return as many of the best agents of one data centre as there are places."""
+        others = (agent for agent in members if agent.name not in kept)
+        return nsmallest(
+            CLAIM_VOTERS, others, key=lambda agent: compute_score(prefix, agent)
+        )
+
 
-def group_by_centre(
-    voters: Iterable[Voter], centres: Mapping[Voter, str]
-) -> dict[str, list[Voter]]:
-    """Return the voters of each data centre."""
-    groups: dict[str, list[Voter]] = defaultdict(list)
-    for voter in voters:
-        groups[centres[voter]].append(voter)
+def group_by_centre(agents: Iterable[Agent]) -> dict[str, list[Agent]]:
+    """Return the agents of each data centre."""
+    groups: dict[str, list[Agent]] = defaultdict(list)
+    for agent in agents:
+        groups[agent.data_centre].append(agent)
     return groups
 
 
-def compute_score(name: ShardName, voter: Voter) -> int:
+def compute_score(prefix: bytes, agent: Agent) -> int:
     """Return the rank of an agent for a shard; the lowest comes first.
 
-    The incarnation does not count: an agent that starts again ranks as before.
+    `prefix` names the shard. The incarnation does not count: an agent that starts
+    again ranks as before.
     """
-    return xxh3_64_intdigest(f"{name.service}/{name.index}/{voter.agent}".encode())
+    return xxh3_64_intdigest(prefix + agent.name.encode())
