Plan claim shards without sorting all of them

Cause: an idle call at 4,400 shards took 29 ms of processor time. Change: only what changes is sorted.

--- a/src/lentilfork/claims/plan.py
+++ b/src/lentilfork/claims/plan.py
@@ -128,7 +128,7 @@
     def plan(self) -> list[ClaimShard]:
         """Return all changes, as far as the limits allow."""
         kept, removed = self.split_shards()
-        ends = list(self.end_changes(kept))
+        ends = sorted(self.end_changes(kept), key=lambda shard: shard.name)
         removals = (
             replace(shard, epoch=shard.epoch + 1, voters=(), previous=())
             for shard in removed
@@ -143,9 +143,11 @@
         """Return the shards of services that stand, and of those removed."""
         kept: list[ClaimShard] = []
         removed: list[ClaimShard] = []
-        for name, shard in sorted(self.state.claim_shards.items()):
+        for name, shard in self.state.claim_shards.items():
             stands = name.service in self.state.services
             (kept if stands else removed).append(shard)
+        # Sorting the few, not the many.
+        removed.sort(key=lambda shard: shard.name)
         return kept, removed
 
     # Shards in change.
