Make tests of membership and TLS able to fail

Breaking the code showed tests that passed all the same: the check of earlier incarnations, a leader that did not run, the standby, a lease at the moment of waking, and rotation.

--- a/tests/membership/member_process.py
+++ b/tests/membership/member_process.py
@@ -11,11 +11,13 @@
 from lentilfork.inspection import InspectionService
 from lentilfork.membership import Feed
 from lentilfork.membership import draw_incarnation
+from lentilfork.membership import read_clock_ms
 from lentilfork.schema import admin_pb2_grpc
 from lentilfork.schema import control_pb2
 from lentilfork.schema import state_pb2
 
 POLL_S = 0.005
+STOPPED_MS = 2_000
 
 
 async def run(
@@ -37,11 +39,14 @@
     )
     # Each time the lease began or ended to hold: whether, and the generation.
     leases: list[tuple[bool, int]] = []
+    # Whether it held at the first moment after each stop.
+    woken: list[bool] = []
 
     def make_dump() -> dict[str, object]:
         return {
             **feed.dump(),
             "leases": leases,
+            "woken": woken,
             "incarnation": agent.incarnation,
             "agents": sorted(feed.state.agents),
         }
@@ -52,8 +57,12 @@
     )
     await server.start()
     running = asyncio.create_task(feed.run())
+    polled_ms = read_clock_ms()
     while not running.done():
         holds = feed.lease_holds
+        if read_clock_ms() - polled_ms > STOPPED_MS:
+            woken.append(holds)
+        polled_ms = read_clock_ms()
         if holds != (bool(leases) and leases[-1][0]):
             leases.append((holds, feed.state.generation))
         await asyncio.sleep(POLL_S)
--- a/tests/membership/test_leases.py
+++ b/tests/membership/test_leases.py
@@ -5,7 +5,9 @@
 
 import pytest
 
+from lentilfork.bench.faults import Faults
 from lentilfork.bench.faults import PathConfig
+from lentilfork.bench.tcp_proxy import TcpProxy
 from lentilfork.membership.lease import LEASE_MS
 from lentilfork.membership.leases import Leases
 from lentilfork.membership.leases import MemberKey
@@ -17,6 +19,7 @@
 from lentilfork.state import ReplicatedState
 from lentilfork.state import apply_change
 from lentilfork.state.model import Agent
+from tests.membership.cluster import Member
 from tests.membership.cluster import run_cluster
 from tests.membership.cluster import wait_for
 from tests.membership.lossy import LossyProxy
@@ -95,9 +98,12 @@
 def test_earlier_incarnation_never_replaces_a_living_later_one() -> None:
     leases = Leases(SilenceLimit(None))
     state = ReplicatedState()
+    taken = []
     for now_ms, incarnation in ((0, 7), (100, 9), (200, 7), (300, 7)):
-        leases.announce(announce("depot-1", incarnation), now_ms)
+        member = leases.announce(announce("depot-1", incarnation), now_ms)
+        taken.append(member is not None)
         state = apply_planned(state, leases, now_ms)
+    assert taken == [True, True, False, False]
     assert state.cluster.agents["depot-1"].incarnation == 9
 
 
@@ -165,6 +171,32 @@
         await wait_for(lambda: "depot-1" not in other.feed.state.agents, "removal", 1.0)
 
 
+async def test_late_acknowledgements_bring_a_standby() -> None:
+    async with run_cluster() as cluster:
+        slow = TcpProxy(
+            PathConfig(
+                name="slow",
+                kind="tcp",
+                listen=cluster.block.take_address(7001),
+                target=cluster.addresses[0],
+                faults=Faults(delay_ms=400),
+            ),
+            seed=7,
+        )
+        slow.open()
+        member = Member("depot-1", (slow.config.listen, *cluster.addresses[1:]))
+        cluster.members.append(member)
+        member.feed.candidates = [slow.config.listen]
+        member.start()
+        await wait_for(lambda: len(member.feed.joined) == 2, "standby joined")
+        slow.apply({"cut": "both"})
+        generation = cluster.log.state.cluster.generation
+        await asyncio.sleep(2 * LEASE_MS / 1000)
+        assert cluster.log.state.cluster.generation == generation
+        assert member.feed.lease_holds
+        slow.close()
+
+
 async def test_nobody_is_taken_out_under_20_percent_loss() -> None:
     async with run_cluster() as cluster:
         proxies = [
@@ -198,8 +230,8 @@
         await cluster.add_member("depot-1")
         await cluster.add_member("depot-2")
         keeper = cluster.controllers[0].hub.keeper
-        for lease in keeper.leases.leases.values():
-            lease.heard_ms -= 10_000
+        # Of the heartbeats that wait to be read only one has been.
+        keeper.leases.leases[MemberKey("agent", "depot-1")].heard_ms -= 10_000
         keeper.ticked_ms -= 10_000
         keeper.tick(cluster.log.state.cluster, True)
         assert not keeper.under_way
--- a/tests/membership/test_processes.py
+++ b/tests/membership/test_processes.py
@@ -30,6 +30,7 @@
         dump = await deployment.dump("depot-0")
         held = [holds for holds, _ in dump["leases"]]
         assert held == [True, False, True], dump["leases"]
+        assert dump["woken"] == [False]
         (_, first), (_, woken), (_, again) = dump["leases"]
         assert first <= woken < again
         assert dump["generations"] == sorted(set(dump["generations"]))
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -1,8 +1,11 @@
 """TLS between processes: who is refused, key files, rotation under a call."""
 
 import asyncio
+import contextlib
 import shutil
 import subprocess
+from collections.abc import AsyncIterator
+from collections.abc import Iterator
 from pathlib import Path
 
 import grpc
@@ -77,21 +80,35 @@
     return await stub.Dump(admin_pb2.DumpRequest(), timeout=10)
 
 
+@contextlib.asynccontextmanager
+async def serve(
+    channels: Channels, address: str, service: InspectionService
+) -> AsyncIterator[None]:
+    """Serve until left, also by a failed assertion."""
+    server = channels.make_server(address)
+    admin_pb2_grpc.add_InspectionServicer_to_server(service, server)
+    await server.start()
+    try:
+        yield
+    finally:
+        await channels.close()
+        await server.stop(None)
+
+
+@pytest.fixture
+def address() -> Iterator[str]:
+    block = AddressBlock()
+    yield block.take_address(7000)
+    block.close()
+
+
 async def test_peers_without_a_certificate_are_refused_and_counted(
-    tmp_path: Path,
+    tmp_path: Path, address: str
 ) -> None:
-    block = AddressBlock()
-    address = block.take_address(7000)
     make_authority(tmp_path)
     tls = make_certificate(tmp_path, address.partition(":")[0])
     counters = Counters()
     channels = Channels(tls, counters)
-    assert channels.check().is_ok()
-    server = channels.make_server(address)
-    admin_pb2_grpc.add_InspectionServicer_to_server(
-        InspectionService(dict, counters), server
-    )
-    await server.start()
     authority = (tmp_path / "ca.pem").read_bytes()
     make_authority(tmp_path / "other")
     other = make_certificate(tmp_path / "other", address.partition(":")[0])
@@ -105,16 +122,14 @@
             ),
         ),
     ]
-    for stranger in strangers:
-        with pytest.raises(grpc.aio.AioRpcError) as refused:
-            await call_dump(stranger)
-        assert refused.value.code() is grpc.StatusCode.UNAVAILABLE
-        await stranger.close(None)
-    assert (await call_dump(channels.get(address))).json
-    await wait_for(lambda: counters.get("tls.refused") >= 3, "counted")
-    await channels.close()
-    await server.stop(None)
-    block.close()
+    async with serve(channels, address, InspectionService(dict, counters)):
+        for stranger in strangers:
+            with pytest.raises(grpc.aio.AioRpcError) as refused:
+                await call_dump(stranger)
+            assert refused.value.code() is grpc.StatusCode.UNAVAILABLE
+            await stranger.close(None)
+        assert (await call_dump(channels.get(address))).json
+        await wait_for(lambda: counters.get("tls.refused") >= 3, "counted")
 
 
 @pytest.mark.parametrize("mode", [0o640, 0o604])
@@ -128,31 +143,26 @@
     assert f"mode {mode:04o}" in checked.err_value.message
 
 
-async def test_rotation_drops_no_call(tmp_path: Path) -> None:
-    block = AddressBlock()
-    address = block.take_address(7000)
+async def test_rotation_drops_no_call(tmp_path: Path, address: str) -> None:
     make_authority(tmp_path)
     host = address.partition(":")[0]
     tls = make_certificate(tmp_path, host)
     counters = Counters()
     channels = Channels(tls, counters)
-    server = channels.make_server(address)
     service = SlowInspection()
-    admin_pb2_grpc.add_InspectionServicer_to_server(service, server)
-    await server.start()
-    under_way = asyncio.create_task(call_dump(channels.get(address)))
-    await service.asked.wait()
-    # A new authority: the former certificates are of no use from here on.
-    make_authority(tmp_path)
-    make_certificate(tmp_path, host)
-    assert channels.reload().is_ok()
-    service.release.set()
-    assert (await call_dump(channels.get(address))).json == "{}"
-    assert (await under_way).json == "{}"
-    assert counters.get("tls.reloaded") == 1
-    tls.certificate.write_text("damaged")
-    assert channels.reload().is_err()
-    assert (await call_dump(channels.get(address))).json == "{}"
-    await channels.close()
-    await server.stop(None)
-    block.close()
+    async with serve(channels, address, service):
+        before = channels.get(address)
+        under_way = asyncio.create_task(call_dump(before))
+        await service.asked.wait()
+        # A new authority: the former certificates are of no use from here on.
+        make_authority(tmp_path)
+        make_certificate(tmp_path, host)
+        assert channels.reload().is_ok()
+        service.release.set()
+        assert channels.get(address) is not before
+        assert (await call_dump(channels.get(address))).json == "{}"
+        assert (await under_way).json == "{}"
+        assert counters.get("tls.reloaded") == 1
+        tls.certificate.write_text("damaged")
+        assert channels.reload().is_err()
+        assert (await call_dump(channels.get(address))).json == "{}"
