--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,10 @@
 demo: $(VENV)/.installed
 	$(BIN)/python tools/demo.py --deployment $(DEPLOYMENT)
 
+# Replays one trace on lentilfork and on two baselines; see build/bench.
+bench: $(VENV)/.installed
+	$(BIN)/lentilfork-bench flows --deployment examples/$(DEPLOYMENT)/deployment.json
+
 test: lint types generated tests
 
 lint: $(VENV)/.installed
