--- a/src/lentilfork/membership/feed.py
+++ b/src/lentilfork/membership/feed.py
@@ -27,6 +27,8 @@
 from lentilfork.membership.clocks import read_clock_ms
 from lentilfork.membership.lease import LEASE_MS
 from lentilfork.membership.lease import OwnLease
+from lentilfork.membership.streams import draw_backoff_s
+from lentilfork.membership.streams import read_updates
 from lentilfork.schema import control_pb2
 from lentilfork.schema import control_pb2_grpc
 from lentilfork.state.deltas import apply_delta
@@ -50,11 +52,6 @@
 # Pause before the standby is joined; doubles while its streams end early.
 STANDBY_PAUSE_S: Final = 0.1
 MAXIMUM_STANDBY_PAUSE_S: Final = 6.4
-# Longest pause before the next attempt; the pause is drawn at random below it.
-# While the lease may still be saved, attempts follow each other closely.
-FIRST_BACKOFF_MS: Final = 50
-LEASED_BACKOFF_MS: Final = 200
-MAXIMUM_BACKOFF_MS: Final = 2_000
 UNCONFIRMED_MS: Final = 5_000
 LEAVE_TIMEOUT_S: Final = 2.0
 KEPT_GENERATIONS: Final = 1_024
@@ -201,7 +198,9 @@
                 self.failures = 0
             self.failures += 1
             self.counters.add("feed.stream_ended", reason)
-            await asyncio.sleep(self.draw_backoff_s())
+            leased = read_clock_ms() - self.lease.acknowledged_ms < LEASE_MS
+            pause_s = draw_backoff_s(self.failures, leased, self.generator)
+            await asyncio.sleep(pause_s)
 
     async def keep_standby(self) -> None:
         """Join a second controller while acknowledgements come late."""
@@ -242,13 +241,6 @@
             self.candidates = self.generator.sample(known, len(known))
         return self.candidates.pop()
 
-    def draw_backoff_s(self) -> float:
-        """Return the pause before the next attempt."""
-        doubled_ms = FIRST_BACKOFF_MS * 2 ** min(self.failures - 1, 8)
-        leased = read_clock_ms() - self.lease.acknowledged_ms < LEASE_MS
-        limit_ms = min(doubled_ms, LEASED_BACKOFF_MS if leased else MAXIMUM_BACKOFF_MS)
-        return self.generator.uniform(0, limit_ms) / MS_PER_S
-
     async def join(self, address: str, wanted: Callable[[], bool]) -> str:
         """Keep one stream until it fails or is not wanted; return why it ended."""
         stub = control_pb2_grpc.ControlStub(self.channels.get(address))
@@ -415,17 +407,3 @@
             "unacknowledged_ms": read_clock_ms() - self.lease.acknowledged_ms,
             "sequence": self.sequence,
         }
-
-
-async def read_updates(
-    call: "grpc.aio.StreamStreamCall[control_pb2.Heartbeat, control_pb2.Update]",
-    patience_s: float,
-) -> AsyncIterator[control_pb2.Update]:
-    """Yield updates; raises TimeoutError when none came for `patience_s`."""
-    while True:
-        # Unlike `wait_for`, this loses no cancellation that comes with a message.
-        async with asyncio.timeout(patience_s):
-            update = await call.read()
-        if not isinstance(update, control_pb2.Update):
-            return
-        yield update
