Measure the slopes of capacity with lentilfork-bench capacity

Change: the command runs tables of records in processes of their own, real controllers with 50, 100 and 200 stand-in members and a real balancer, the balancer beside a bare asyncio UDP forwarder, and agents with callers, at three sizes each; it writes capacity.json and capacity.png and fills the tables of a page.

--- /dev/null
+++ b/src/lentilfork/bench/capacity.py
@@ -0,0 +1,115 @@
+"""Measures what one more member, change, packet, flow or record costs.
+
+The result file holds points and slopes; docs/CAPACITY.md works with them.
+"""
+
+import json
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterable
+from dataclasses import asdict
+from pathlib import Path
+from typing import Any
+from typing import Final
+
+import matplotlib as mpl
+
+from lentilfork.bench.capacity_members import measure_members
+from lentilfork.bench.capacity_packets import measure_packets
+from lentilfork.bench.capacity_requests import measure_requests
+from lentilfork.bench.capacity_slopes import Slope
+from lentilfork.bench.capacity_slopes import fit_slope
+from lentilfork.bench.capacity_tables import KINDS
+from lentilfork.bench.description import DeploymentDescription
+
+__all__ = ["measure_capacity", "plot_capacity", "write_capacity"]
+
+TABLE_SIZES: Final = (5_000, 10_000, 20_000)
+TABLE_TIMEOUT_S: Final = 60.0
+COLUMNS: Final = 4
+PANEL_INCHES: Final = (4.0, 2.8)
+DOTS_PER_INCH: Final = 80
+
+
+def measure_tables() -> list[Slope]:
+    """Return memory and message bytes of each kind of record."""
+    slopes = []
+    for kind in KINDS:
+        results = [(count, run_table(kind, count)) for count in TABLE_SIZES]
+        for measure in ("memory", "message"):
+            points = [(count, result[measure]) for count, result in results]
+            if any(value for _, value in points):
+                slopes.append(fit_slope(f"{kind}, {measure}", "B", kind, points))
+    return slopes
+
+
+def run_table(kind: str, count: int) -> dict[str, float]:
+    """Return what a process of its own measured for one table."""
+    command = [sys.executable, "-m", "lentilfork.bench.capacity_tables"]
+    done = subprocess.run(
+        [*command, kind, str(count)],
+        capture_output=True,
+        check=True,
+        timeout=TABLE_TIMEOUT_S,
+    )
+    result: dict[str, float] = json.loads(done.stdout)
+    return result
+
+
+async def measure_capacity(description: DeploymentDescription) -> dict[str, Any]:
+    """Return all slopes and totals as JSON values; takes about two minutes."""
+    started_s = time.monotonic()
+    slopes = measure_tables()
+    with tempfile.TemporaryDirectory() as folder:
+        slopes += await measure_members(Path(folder))
+    with tempfile.TemporaryDirectory() as folder:
+        packets, totals = await measure_packets(Path(folder))
+    with tempfile.TemporaryDirectory() as folder:
+        requests, idle = await measure_requests(description, Path(folder))
+    slopes += [*packets, *requests]
+    return {
+        "seconds": round(time.monotonic() - started_s, 1),
+        "slopes": {slope.name: describe(slope) for slope in slopes},
+        "totals": {**totals, **idle},
+    }
+
+
+def describe(slope: Slope) -> dict[str, Any]:
+    """Return a slope as JSON values, rounded to four digits."""
+    document = asdict(slope)
+    document["points"] = [[size, float(f"{value:.4g}")] for size, value in slope.points]
+    document["slope"] = float(f"{slope.slope:.4g}")
+    document["base"] = float(f"{slope.base:.4g}")
+    return document
+
+
+def plot_capacity(slopes: Iterable[dict[str, Any]], path: Path) -> None:
+    """Draw each slope with its points into a PNG file."""
+    mpl.use("Agg")
+    from matplotlib import pyplot
+
+    drawn = list(slopes)
+    rows = -(-len(drawn) // COLUMNS)
+    size = (PANEL_INCHES[0] * COLUMNS, PANEL_INCHES[1] * rows)
+    figure: Any
+    figure, panels = pyplot.subplots(rows, COLUMNS, figsize=size, layout="constrained")
+    for panel in panels.flat[len(drawn) :]:
+        panel.axis("off")
+    for panel, slope in zip(panels.flat, drawn, strict=False):
+        sizes = [point[0] for point in slope["points"]]
+        panel.plot(sizes, [point[1] for point in slope["points"]], "o")
+        panel.plot(sizes, [slope["base"] + slope["slope"] * at for at in sizes])
+        panel.set_title(slope["name"] + (" (bends)" if slope["bends"] else ""))
+        panel.set_xlabel(slope["per"] + "s")
+        panel.set_ylabel(slope["unit"])
+    figure.savefig(path, dpi=DOTS_PER_INCH)
+    pyplot.close(figure)
+
+
+def write_capacity(document: dict[str, Any], folder: Path) -> None:
+    """Write capacity.json and capacity.png into a folder."""
+    text = json.dumps(document, indent=1) + "\n"
+    (folder / "capacity.json").write_text(text, encoding="utf-8")
+    plot_capacity(document["slopes"].values(), folder / "capacity.png")
--- /dev/null
+++ b/src/lentilfork/bench/capacity_events.py
@@ -0,0 +1,115 @@
+"""What events cost at the busiest process, worked out from measured slopes."""
+
+from typing import Final
+
+from lentilfork.bench.capacity_target import ADDRESSES
+from lentilfork.bench.capacity_target import CHANGES_PER_DAY
+from lentilfork.bench.capacity_target import CONTROLLERS
+from lentilfork.bench.capacity_target import DAY_S
+from lentilfork.bench.capacity_target import ENDPOINTS
+from lentilfork.bench.capacity_target import MEMBERS
+from lentilfork.bench.capacity_target import RESTARTS_PER_DAY
+from lentilfork.bench.capacity_target import Capacity
+from lentilfork.claims.keys import CLAIM_SHARDS_PER_SERVICE
+from lentilfork.claims.plan import CLAIM_VOTERS
+from lentilfork.membership.feed import LARGE_HEARTBEAT_MS
+
+__all__ = ["list_events"]
+
+DATA_CENTRES: Final = 6
+REGIONS: Final = 2
+# Members in one rack; the target doesn't say, this is an assumption.
+RACK_MEMBERS: Final = 40
+HOUR_S: Final = 3_600
+MS_PER_S: Final = 1_000
+BYTES_PER_MB: Final = 1_000_000
+SESSIONS: Final = MEMBERS / CONTROLLERS
+# Shards in which one agent votes, on average.
+VOTES: Final = ADDRESSES * CLAIM_SHARDS_PER_SERVICE * CLAIM_VOTERS / ENDPOINTS
+# Each shard changes twice: new voters, then without `previous`.
+SHARD_CHANGES: Final = 2
+# A restart removes an agent and admits it again; the second changes no shard.
+RESTART_CHANGES: Final = 2
+
+
+def list_events(capacity: Capacity) -> list[tuple[str, ...]]:
+    """Return event, process, messages and bytes as cells."""
+    change = capacity.reckon("balancer, change bytes", MEMBERS)
+    steady = capacity.reckon("balancer, steady bytes", MEMBERS)
+    shard = capacity.get_slope("address, message") / CLAIM_SHARDS_PER_SERVICE
+    lost = change + VOTES * SHARD_CHANGES * shard
+    restart = lost + change
+    centre = MEMBERS / DATA_CENTRES
+    region = MEMBERS / REGIONS
+    snapshot = capacity.snapshot_bytes
+    heartbeats = SESSIONS * MS_PER_S / LARGE_HEARTBEAT_MS
+    restarts = RESTARTS_PER_DAY * restart
+    return [
+        (
+            "steady state",
+            "a controller",
+            f"{heartbeats:,.0f} heartbeats/s",
+            f"{steady * SESSIONS / BYTES_PER_MB:.3f} MB/s",
+        ),
+        (
+            "one change of configuration",
+            "a controller",
+            f"{SESSIONS:,.0f}",
+            f"{change * SESSIONS / BYTES_PER_MB:.3f} MB",
+        ),
+        (
+            f"{CHANGES_PER_DAY} changes in a day",
+            "a member",
+            f"{CHANGES_PER_DAY}",
+            f"{change * CHANGES_PER_DAY / DAY_S:.2f} B/s",
+        ),
+        (
+            f"{RESTARTS_PER_DAY} restarts in a day",
+            "a member",
+            f"{RESTARTS_PER_DAY * RESTART_CHANGES} or more",
+            f"{restarts / DAY_S:.1f} B/s",
+        ),
+        (
+            f"{RESTARTS_PER_DAY} restarts in an hour",
+            "a member",
+            f"{RESTARTS_PER_DAY * RESTART_CHANGES} or more",
+            f"{restarts / HOUR_S:.1f} B/s",
+        ),
+        (
+            f"{RESTARTS_PER_DAY} restarts in an hour",
+            "a controller",
+            f"{RESTARTS_PER_DAY * RESTART_CHANGES * SESSIONS:,.0f}",
+            f"{restarts * SESSIONS / HOUR_S / BYTES_PER_MB:.3f} MB/s",
+        ),
+        (
+            f"rack of {RACK_MEMBERS} members lost",
+            "a controller",
+            f"{SESSIONS:,.0f} or more",
+            f"{lost * RACK_MEMBERS * SESSIONS / BYTES_PER_MB:.1f} MB",
+        ),
+        (
+            "data centre lost",
+            "a controller",
+            f"{(MEMBERS - centre) / (CONTROLLERS - 1):,.0f} or more",
+            f"{lost * centre * (MEMBERS - centre) / (CONTROLLERS - 1) / 1e6:.0f} MB",
+        ),
+        (
+            "regions join after ten minutes, all of one gone",
+            "a controller",
+            f"{region:,.0f} snapshots, {region * SESSIONS:,.0f} deltas at most",
+            f"{region * snapshot / 1e6:.0f} MB + "
+            f"{region * change * SESSIONS / 1e6:.0f} MB",
+        ),
+        (
+            "all members announce at once",
+            "a controller",
+            f"{SESSIONS:,.0f} full heartbeats, {SESSIONS:,.0f} snapshots",
+            f"{SESSIONS * snapshot / BYTES_PER_MB:.0f} MB",
+        ),
+        (
+            "one snapshot of the whole state",
+            "a member",
+            "1",
+            f"{snapshot / BYTES_PER_MB:.3f} MB",
+        ),
+    ]
--- /dev/null
+++ b/src/lentilfork/bench/capacity_members.py
@@ -0,0 +1,158 @@
+"""Slopes of controllers and members: how control grows with members and changes."""
+
+import asyncio
+from pathlib import Path
+from typing import Final
+
+from lentilfork.bench.capacity_slopes import Reading
+from lentilfork.bench.capacity_slopes import Slope
+from lentilfork.bench.capacity_slopes import fit_slope
+from lentilfork.bench.capacity_slopes import read_process
+from lentilfork.bench.deployment import Deployment
+from lentilfork.bench.description import DeploymentDescription
+from lentilfork.bench.meter import ControlMeter
+from lentilfork.bench.processes import wait_until
+from lentilfork.schema import state_pb2
+
+__all__ = ["measure_members"]
+
+SEED: Final = 1
+# Stand-in members added at each step: 50, 100 and 200 in all.
+STEPS: Final = (50, 50, 100)
+CHANGES: Final = 10
+CHANGE_PAUSE_S: Final = 0.4
+STEADY_S: Final = 5.0
+SETTLE_S: Final = 2.0
+JOIN_TIMEOUT_S: Final = 40.0
+JOINS_PER_S: Final = 50
+BALANCER: Final = "entry-1"
+
+
+class MemberTrial:
+    """One deployment of real controllers and a real balancer that grows."""
+
+    deployment: Deployment
+    meter: ControlMeter
+    members: int
+    # Points by slope name.
+    points: dict[str, list[tuple[float, float]]]
+
+    def __init__(self, deployment: Deployment, meter: ControlMeter) -> None:
+        self.deployment = deployment
+        self.meter = meter
+        self.members = 0
+        self.points = {}
+
+    def note(self, name: str, value: float) -> None:
+        """Keep one point at the present number of members."""
+        self.points.setdefault(name, []).append((self.members, value))
+
+    def read_all(self) -> dict[str, Reading]:
+        """Return readings of the controllers and the balancer."""
+        names = (*self.deployment.plan.controllers, BALANCER)
+        return {name: read_process(self.deployment.get_process(name)) for name in names}
+
+    def count_bytes(self) -> int:
+        """Return the bytes between the balancer and all controllers so far."""
+        return self.meter.count_bytes().get(BALANCER, 0)
+
+    async def add_members(self, count: int) -> None:
+        """Start stand-ins and wait until all are admitted."""
+        self.members += count
+        name = f"members-{self.members}"
+        addresses = self.deployment.operator.controllers
+        arguments = (name, str(count), str(JOINS_PER_S), *addresses)
+        process = self.deployment.group.add(
+            name, "-m", "lentilfork.bench.receivers", *arguments
+        )
+        process.start()
+        await wait_until(lambda: process.count_answers() > 0, JOIN_TIMEOUT_S, name)
+
+    async def measure_steady(self) -> tuple[float, float]:
+        """Note the cost of a quiet time; returns busiest controller CPU/s, bytes/s."""
+        await asyncio.sleep(SETTLE_S)
+        before, bytes_before = self.read_all(), self.count_bytes()
+        await asyncio.sleep(STEADY_S)
+        after, bytes_after = self.read_all(), self.count_bytes()
+        rates = get_rates(before, after)
+        rate = (bytes_after - bytes_before) / STEADY_S
+        busiest = max(rates[name] for name in self.deployment.plan.controllers)
+        self.note("controller, steady processor", busiest)
+        self.note("balancer, steady processor", rates[BALANCER])
+        self.note("balancer, steady bytes", rate)
+        rss = max(after[name].rss_bytes for name in self.deployment.plan.controllers)
+        self.note("controller, resident memory", rss)
+        self.note("balancer, resident memory", after[BALANCER].rss_bytes)
+        return busiest, rate
+
+    async def measure_changes(self, idle_rate: float, idle_bytes: float) -> None:
+        """Note what one change costs above the quiet time."""
+        before, bytes_before = self.read_all(), self.count_bytes()
+        for number in range(CHANGES):
+            await self.deployment.operator.apply_service(make_service(number))
+            await asyncio.sleep(CHANGE_PAUSE_S)
+        after, bytes_after = self.read_all(), self.count_bytes()
+        taken_s = after[BALANCER].at_s - before[BALANCER].at_s
+        spent = max(
+            after[name].processor_s - before[name].processor_s
+            for name in self.deployment.plan.controllers
+        )
+        self.note(
+            "controller, change processor",
+            spent / CHANGES - idle_rate * taken_s / CHANGES,
+        )
+        moved = bytes_after - bytes_before - idle_bytes * taken_s
+        self.note("balancer, change bytes", moved / CHANGES)
+
+    async def run(self) -> None:
+        """Measure at each size."""
+        await self.deployment.operator.apply_service(make_service(CHANGES))
+        for step in STEPS:
+            await self.add_members(step)
+            busiest, rate = await self.measure_steady()
+            await self.measure_changes(busiest, rate)
+
+
+def get_rates(
+    before: dict[str, Reading], after: dict[str, Reading]
+) -> dict[str, float]:
+    """Return the share of a core that each process used between two readings."""
+    return {
+        name: (now.processor_s - before[name].processor_s)
+        / (now.at_s - before[name].at_s)
+        for name, now in after.items()
+    }
+
+
+def make_service(number: int) -> state_pb2.Service:
+    """Return a definition that differs from the one before."""
+    return state_pb2.Service(
+        name="service-0", address="10.9.0.1", port=5683, deadline_ms=2_000 + number
+    )
+
+
+UNITS: Final = {
+    "controller, steady processor": "core",
+    "balancer, steady processor": "core",
+    "balancer, steady bytes": "B/s",
+    "controller, resident memory": "B",
+    "balancer, resident memory": "B",
+    "controller, change processor": "s",
+    "balancer, change bytes": "B",
+}
+
+
+async def measure_members(folder: Path) -> list[Slope]:
+    """Return the slopes over the number of members."""
+    description = DeploymentDescription(name="capacity", balancers=1, services=())
+    meter = ControlMeter(SEED)
+    try:
+        async with Deployment(description, folder, meter) as deployment:
+            trial = MemberTrial(deployment, meter)
+            await trial.run()
+    finally:
+        meter.close()
+    return [
+        fit_slope(name, unit, "member", trial.points[name])
+        for name, unit in UNITS.items()
+    ]
--- /dev/null
+++ b/src/lentilfork/bench/capacity_page.py
@@ -0,0 +1,88 @@
+"""The tables of docs/CAPACITY.md, worked out from measured slopes.
+
+The page holds them between two marks; everything else in it is written by hand and
+holds no measured figure.
+"""
+
+import re
+from collections.abc import Iterable
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+from typing import Final
+
+from lentilfork.bench.capacity_events import list_events
+from lentilfork.bench.capacity_target import Capacity
+from lentilfork.bench.capacity_target import Row
+from lentilfork.bench.capacity_target import list_roles
+from lentilfork.bench.capacity_target import list_rows
+
+__all__ = ["fill_page", "make_tables"]
+
+MARKED: Final = re.compile(r"(<!-- (\w+) -->\n).*?(<!-- end -->)", re.DOTALL)
+
+
+def make_tables(document: dict[str, Any]) -> dict[str, str]:
+    """Return the Markdown tables by the mark at which they stand."""
+    capacity = Capacity(document)
+    return {
+        "slopes": make_table(
+            ("slope", "each", "sizes", "slope", "base", "bends"),
+            map(describe_slope, document["slopes"].values()),
+        ),
+        "roles": make_table(
+            ("role", "of", "slope times count", "comes to", "mechanism"),
+            list_roles(capacity),
+        ),
+        "targets": make_table(
+            ("target", "needed", "worked out", "margin", "verdict"),
+            map(describe_row, list_rows(capacity)),
+        ),
+        "events": make_table(
+            ("event", "at the busiest process", "messages", "bytes"),
+            list_events(capacity),
+        ),
+    }
+
+
+def make_table(titles: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
+    """Return a Markdown table."""
+    lines = [titles, ["---"] * len(titles), *rows]
+    return "".join(f"| {' | '.join(line)} |\n" for line in lines)
+
+
+def describe_slope(slope: dict[str, Any]) -> tuple[str, ...]:
+    """Return the cells of a measured slope."""
+    sizes = ", ".join(f"{size:,.0f}" for size, _ in slope["points"])
+    unit = slope["unit"]
+    return (
+        slope["name"],
+        slope["per"],
+        sizes,
+        f"{slope['slope']:.4g} {unit}",
+        f"{slope['base']:.4g} {unit}",
+        "yes" if slope["bends"] else "no",
+    )
+
+
+def describe_row(row: Row) -> tuple[str, ...]:
+    """Return the cells of a line of the target."""
+    margin = f"{row.margin:.2f} times"
+    verdict = "met" if row.margin >= 1 else "**not met**"
+    return (
+        row.name,
+        f"{row.needed:,.4g} {row.unit}",
+        f"{row.worked_out:,.4g} {row.unit}",
+        margin,
+        verdict,
+    )
+
+
+def fill_page(path: Path, document: dict[str, Any]) -> None:
+    """Replace the marked tables of a page."""
+    tables = make_tables(document)
+    text = MARKED.sub(
+        lambda found: f"{found[1]}\n{tables[found[2]]}\n{found[3]}",
+        path.read_text(encoding="utf-8"),
+    )
+    path.write_text(text, encoding="utf-8")
--- /dev/null
+++ b/src/lentilfork/bench/capacity_slopes.py
@@ -0,0 +1,70 @@
+"""Slopes: what one more unit of load costs, fitted to measured points."""
+
+import itertools
+import statistics
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Final
+
+import psutil
+
+from lentilfork.bench.processes import Process
+
+__all__ = ["Reading", "Slope", "fit_slope", "read_process"]
+
+# A slope bends when its last part is steeper than its first by this factor.
+BEND_FACTOR: Final = 1.25
+# Sizes at which a slope is measured at the least.
+SIZES: Final = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """A straight line through measured points."""
+
+    name: str
+    # Unit of the values, and what one step of the size is.
+    unit: str
+    per: str
+    points: tuple[tuple[float, float], ...]
+    # Least squares: value = base + slope * size.
+    slope: float
+    base: float
+    # Worse than linear over the measured sizes.
+    bends: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """What one process has used so far."""
+
+    at_s: float
+    processor_s: float
+    rss_bytes: int
+    # Unique to the process, without shared pages.
+    uss_bytes: int
+
+
+def fit_slope(
+    name: str, unit: str, per: str, points: Sequence[tuple[float, float]]
+) -> Slope:
+    """Return the slope through at least three points of growing size."""
+    if len(points) < SIZES:
+        raise ValueError(f"{name}: {SIZES} sizes are needed")
+    sizes, values = zip(*points, strict=True)
+    line = statistics.linear_regression(sizes, values)
+    steps = [
+        (after[1] - before[1]) / (after[0] - before[0])
+        for before, after in itertools.pairwise(points)
+    ]
+    bends = steps[-1] > BEND_FACTOR * max(steps[0], 0.0) and line.slope > 0
+    return Slope(name, unit, per, tuple(points), line.slope, line.intercept, bends)
+
+
+def read_process(process: Process) -> Reading:
+    """Return what a running process has used."""
+    handle = psutil.Process(process.pid)
+    spent = handle.cpu_times()
+    memory = handle.memory_full_info()
+    return Reading(time.monotonic(), spent.user + spent.system, memory.rss, memory.uss)
--- /dev/null
+++ b/src/lentilfork/bench/capacity_tables.py
@@ -0,0 +1,137 @@
+"""Memory of one kind of record, measured in a process of its own.
+
+Usage: python -m lentilfork.bench.capacity_tables KIND COUNT
+Prints as JSON the growth of unique memory and the size on the wire, in bytes.
+"""
+
+import gc
+import json
+import sys
+import time
+from collections.abc import Callable
+from typing import Final
+
+import psutil
+
+from lentilfork.claims.records import Attempt
+from lentilfork.claims.records import RecordTable
+from lentilfork.claims.records import encode_record
+from lentilfork.exchanges import Exchanges
+from lentilfork.routing.directory import Directory
+from lentilfork.state.model import Agent
+from lentilfork.state.model import ClaimShard
+from lentilfork.state.model import ClusterState
+from lentilfork.state.model import Service
+from lentilfork.state.model import ShardName
+from lentilfork.state.model import Voter
+from lentilfork.state.snapshots import decode_snapshot
+from lentilfork.state.snapshots import encode_snapshot
+
+__all__ = ["KINDS"]
+
+ANSWER_BYTES: Final = 64
+KEY_BYTES: Final = 16
+LIFETIME_S: Final = 3_600.0
+
+
+def make_key(number: int) -> bytes:
+    """Return a key of the size of the system's own."""
+    return number.to_bytes(KEY_BYTES, "big")
+
+
+def fill_directory(count: int) -> tuple[object, int]:
+    """Return a directory with entries; they are not sent."""
+    directory = Directory(LIFETIME_S)
+    for number in range(count):
+        directory.record(make_key(number), "agent-1", time.monotonic())
+    return directory, 0
+
+
+def fill_exchanges(count: int) -> tuple[object, int]:
+    """Return kept answers; they are not sent."""
+    exchanges = Exchanges()
+    for number in range(count):
+        exchanges.begin(make_key(number))
+        exchanges.finish(make_key(number), number.to_bytes(ANSWER_BYTES, "big"))
+    return exchanges, 0
+
+
+def fill_claims(count: int) -> tuple[object, int]:
+    """Return settled claims and their size in a transfer between voters."""
+    table = RecordTable(count)
+    runner = Voter("agent-1", 1)
+    for number in range(count):
+        key = make_key(number)
+        attempt = Attempt(make_key(number + count), make_key(number), runner)
+        table.claim(key, attempt, 0.0)
+        table.settle_done(key, attempt, number.to_bytes(ANSWER_BYTES, "big"), 0.0)
+    return table, sum(encode_record(record, 1.0).ByteSize() for record in table)
+
+
+def fill_endpoints(count: int) -> tuple[object, int]:
+    """Return a state of endpoints as a member holds it after a snapshot."""
+    agents = {
+        f"agent-{number}": Agent(
+            f"agent-{number}",
+            time.time_ns() // 1_000,
+            "service-1",
+            "centre-a",
+            f"10.0.{number >> 8}.{number & 255}:6000",
+            f"10.0.{number >> 8}.{number & 255}:7000",
+            1,
+            False,
+            number,
+        )
+        for number in range(count)
+    }
+    return transfer(ClusterState(agents=agents))
+
+
+def fill_addresses(count: int) -> tuple[object, int]:
+    """Return a state of service addresses, each with its four claim shards."""
+    voters = tuple(Voter(f"agent-{number}", 1 << 50) for number in range(5))
+    services = {
+        f"service-{number}": Service(
+            number + 1,
+            f"service-{number}",
+            f"10.9.{number >> 8}.{number & 255}",
+            5683,
+            2_000,
+            (),
+            number,
+        )
+        for number in range(count)
+    }
+    names = [ShardName(service, index) for service in services for index in range(4)]
+    shards = {name: ClaimShard(name, 1, voters, ()) for name in names}
+    return transfer(ClusterState(services=services, claim_shards=shards))
+
+
+def transfer(state: ClusterState) -> tuple[object, int]:
+    """Return a state as decoded from its snapshot, and the snapshot's bytes."""
+    data = encode_snapshot(state).SerializeToString()
+    return decode_snapshot(type(encode_snapshot(state)).FromString(data)), len(data)
+
+
+KINDS: Final[dict[str, Callable[[int], tuple[object, int]]]] = {
+    "directory entry": fill_directory,
+    "kept answer": fill_exchanges,
+    "claim record": fill_claims,
+    "endpoint": fill_endpoints,
+    "address": fill_addresses,
+}
+
+
+def main(kind: str, count: int) -> None:
+    """Fill one kind of table and print what it takes."""
+    process = psutil.Process()
+    before = process.memory_full_info().uss
+    kept, message_bytes = KINDS[kind](count)
+    gc.collect()
+    grown = process.memory_full_info().uss - before
+    print(json.dumps({"memory": grown, "message": message_bytes}))
+    del kept
+
+
+if __name__ == "__main__":
+    main(sys.argv[1], int(sys.argv[2]))
--- /dev/null
+++ b/src/lentilfork/bench/capacity_target.py
@@ -0,0 +1,211 @@
+"""The size that the design must carry, and each line of it as a worked-out row."""
+
+from dataclasses import dataclass
+from typing import Any
+from typing import Final
+
+__all__ = ["Capacity", "Row", "list_roles", "list_rows"]
+
+NODES: Final = 450
+ENDPOINTS: Final = 2_300
+ADDRESSES: Final = 1_100
+MEMBERS: Final = NODES + ENDPOINTS
+FLOWS: Final = 4_200_000
+NEW_FLOWS_PER_S: Final = 48_000
+CHANGES_PER_DAY: Final = 230
+RESTARTS_PER_DAY: Final = 400
+CONTROLLERS: Final = 3
+DAY_S: Final = 86_400
+LONGEST_SPREAD_S: Final = 11.0
+PROCESSOR_SHARE: Final = 0.035
+MEMORY_MB: Final = 32.0
+CONTROL_BYTES_PER_S: Final = 10_000
+PACKET_RATE_RATIO: Final = 0.5
+BYTES_PER_MB: Final = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One line of the target."""
+
+    name: str
+    unit: str
+    needed: float
+    worked_out: float
+    # More is better, as for a rate; else less is.
+    floor: bool = False
+
+    @property
+    def margin(self) -> float:
+        """How many times the target is met; below 1 it is not."""
+        if self.floor:
+            return self.worked_out / self.needed
+        return self.needed / self.worked_out
+
+
+class Capacity:
+    """Slopes of a result file, applied to counts."""
+
+    document: dict[str, Any]
+
+    def __init__(self, document: dict[str, Any]) -> None:
+        self.document = document
+
+    def get_slope(self, name: str) -> float:
+        """Return the slope of that name, at least 0; raises KeyError."""
+        return max(0.0, float(self.document["slopes"][name]["slope"]))
+
+    def get_total(self, name: str) -> float:
+        """Return a figure measured once; raises KeyError."""
+        return float(self.document["totals"][name])
+
+    def reckon(self, name: str, count: float) -> float:
+        """Return base and slope times count, at least the last measured value."""
+        slope = self.document["slopes"][name]
+        reckoned = float(slope["base"]) + self.get_slope(name) * count
+        return max(reckoned, float(slope["points"][-1][1]))
+
+    @property
+    def state_memory_mb(self) -> float:
+        """Memory of the whole state at a member."""
+        held = self.get_slope("endpoint, memory") * ENDPOINTS
+        held += self.get_slope("address, memory") * ADDRESSES
+        return held / BYTES_PER_MB
+
+    @property
+    def snapshot_bytes(self) -> float:
+        """Bytes of a snapshot of the whole state."""
+        size = self.get_slope("endpoint, message") * ENDPOINTS
+        return size + self.get_slope("address, message") * ADDRESSES
+
+    @property
+    def rate_ratio(self) -> float:
+        """Packet rate of a balancer over that of the bare forwarder."""
+        bare = self.get_slope("bare forwarder, packets processor")
+        return bare / self.get_slope("balancer, packets processor")
+
+    def get_memory_mb(self, role: str) -> float:
+        """Return resident memory of a role with the whole state."""
+        idle = self.get_total(f"{role}, idle resident memory") / BYTES_PER_MB
+        return idle + self.state_memory_mb
+
+
+def list_rows(capacity: Capacity) -> list[Row]:
+    """Return each line of the target."""
+    flows = NEW_FLOWS_PER_S / NODES
+    change_bytes = capacity.reckon("balancer, change bytes", MEMBERS)
+    steady_bytes = capacity.reckon("balancer, steady bytes", MEMBERS)
+    rate = 1 / capacity.get_slope("balancer, packets processor")
+    return [
+        Row(
+            "packet rate over a bare forwarder's",
+            "",
+            PACKET_RATE_RATIO,
+            capacity.rate_ratio,
+            floor=True,
+        ),
+        Row("first packets of new flows at a node", "/s", flows, rate, floor=True),
+        Row(
+            "processor for control, balancer",
+            "core",
+            PROCESSOR_SHARE,
+            capacity.reckon("balancer, steady processor", MEMBERS),
+        ),
+        Row(
+            "memory of the process, balancer",
+            "MB",
+            MEMORY_MB,
+            capacity.get_memory_mb("balancer"),
+        ),
+        Row(
+            "memory of the process, agent",
+            "MB",
+            MEMORY_MB,
+            capacity.get_memory_mb("agent"),
+        ),
+        Row(
+            "control bytes, steady with 230 changes a day",
+            "B/s",
+            CONTROL_BYTES_PER_S,
+            steady_bytes + change_bytes * CHANGES_PER_DAY / DAY_S,
+        ),
+        Row(
+            "processor of the busiest controller, steady",
+            "core",
+            1.0,
+            capacity.reckon("controller, steady processor", MEMBERS),
+        ),
+        Row(
+            "processor time to spread one change",
+            "s",
+            LONGEST_SPREAD_S,
+            capacity.reckon("controller, change processor", MEMBERS),
+        ),
+        Row("hosts set aside for control", "hosts", 7, CONTROLLERS),
+    ]
+
+
+def list_roles(capacity: Capacity) -> list[tuple[str, ...]]:
+    """Return state, messages, processor time and memory by role."""
+    steady = capacity.reckon("controller, steady processor", MEMBERS)
+    entries = FLOWS / ENDPOINTS
+    directory = capacity.get_slope("directory entry, memory")
+    lookup = capacity.get_slope("agents, lookup processor")
+    change = capacity.get_slope("agents, change processor")
+    packet = capacity.get_slope("balancer, packets processor")
+    flow = capacity.get_slope("balancer, memory of flows")
+    endpoint = capacity.get_slope("endpoint, memory")
+    address = capacity.get_slope("address, memory")
+    each = NEW_FLOWS_PER_S / ENDPOINTS
+    return [
+        (
+            "all members",
+            "state",
+            f"{endpoint:.4g} B * {ENDPOINTS:,} + {address:.4g} B * {ADDRESSES:,}",
+            f"{capacity.state_memory_mb:.2f} MB",
+            "`state.model`",
+        ),
+        (
+            "balancer",
+            "flows",
+            f"{flow:.4g} B * {FLOWS / NODES:,.0f}",
+            f"{flow * FLOWS / NODES / BYTES_PER_MB:.2f} MB",
+            "`balancer`, `routing.table`",
+        ),
+        (
+            "balancer",
+            "new flows",
+            f"{packet:.4g} s * {NEW_FLOWS_PER_S / NODES:.0f}/s",
+            f"{packet * NEW_FLOWS_PER_S / NODES:.4f} core",
+            "`balancer`, `borders.packets`",
+        ),
+        (
+            "agent",
+            "directory",
+            f"{directory:.4g} B * {entries:,.0f}",
+            f"{directory * entries / BYTES_PER_MB:.2f} MB",
+            "`routing.directory`",
+        ),
+        (
+            "agent",
+            "lookups",
+            f"{lookup:.4g} s * {each:.1f}/s",
+            f"{lookup * each:.3f} core",
+            "`dispatcher`, `runner`",
+        ),
+        (
+            "agent",
+            "non-idempotent requests",
+            f"{change:.4g} s * {each:.1f}/s",
+            f"{change * each:.3f} core",
+            "`claims.runner`, `claims.voter`",
+        ),
+        (
+            "controller",
+            "heartbeats",
+            f"{capacity.get_slope('controller, steady processor'):.4g} core "
+            f"* {MEMBERS:,}",
+            f"{steady:.2f} core",
+            "`membership.relay`, `membership.sessions`",
+        ),
+    ]
--- a/src/lentilfork/bench/command.py
+++ b/src/lentilfork/bench/command.py
@@ -1,4 +1,4 @@
-"""The command `lentilfork-bench`: replay, record and compare."""
+"""The command `lentilfork-bench`: replay, record, compare and measure."""
 
 import asyncio
 import json
@@ -14,6 +14,9 @@
 from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
 
+from lentilfork.bench.capacity import measure_capacity
+from lentilfork.bench.capacity import write_capacity
+from lentilfork.bench.capacity_page import fill_page
 from lentilfork.bench.crowd import Crowd
 from lentilfork.bench.deployment import Deployment
 from lentilfork.bench.description import DeploymentDescription
@@ -146,6 +149,39 @@
         return 0
 
 
+class CapacityCommand(Command):
+    """Measures what one more member, change, packet, flow or record costs."""
+
+    name = "capacity"
+    description = "Measure the slopes that docs/CAPACITY.md works with."
+    help = """\
+Runs real controllers, balancers and agents at three sizes each, in about two
+minutes. Writes capacity.json and capacity.png, and the tables of CAPACITY.md where
+the folder has that page.
+
+Examples:
+  lentilfork-bench capacity
+  lentilfork-bench capacity --out docs
+"""
+    options: ClassVar[list[Option]] = [
+        option("deployment", "d", "deployment file", flag=False, default=""),
+        option("out", "o", "folder to write to", flag=False, default=DEFAULT_FOLDER),
+    ]
+
+    def handle(self) -> int:
+        """Measure; returns the exit code."""
+        out = Path(self.option("out"))
+        out.mkdir(parents=True, exist_ok=True)
+        description = find_description(self.option("deployment"))
+        document = asyncio.run(measure_capacity(description))
+        write_capacity(document, out)
+        page = out / "CAPACITY.md"
+        if page.exists():
+            fill_page(page, document)
+        self.line(f"{document['seconds']} s; written: {out / 'capacity.json'}")
+        return 0
+
+
 async def record(
     description: DeploymentDescription, folder: Path, duration_s: float, seed: int
 ) -> Trace:
@@ -206,4 +242,5 @@
     application = Application("lentilfork-bench")
     application.add(FlowsCommand())
     application.add(RecordCommand())
+    application.add(CapacityCommand())
     return application.run()
