Share the refusing among owners when every agent is full

Change: an owner that sees room at no agent refuses by itself, at the same bounded rate. What others placed is worked off at the agent's own pace in the owner's book, not by a half-life. Claim rounds wait up to 1 s for voters and back off up to 1 s. A voter's lease is renewed only while this process is admitted. Answers of any size are read from a backend server, since gRPC reports its own limit as RESOURCE_EXHAUSTED, which must mean "not run".

--- a/src/lentilfork/agent.py
+++ b/src/lentilfork/agent.py
@@ -105,6 +105,7 @@
             send=self.send_envelope,
             answer=self.send_answer,
             serve=self.runner.accept,
+            refuse=self.runner.refuse,
             measure_load=self.measure_load,
             holds=self.runner.downloads.holds,
         )
@@ -175,7 +176,8 @@
     def renew_voter(self) -> None:
         """Let the voter go on if the leader has acknowledged a heartbeat since."""
         feed = self.member.feed
-        if feed.lease.acknowledged_ms > self.renewed_ms:
+        heard = feed.lease.acknowledged_ms > self.renewed_ms
+        if heard and feed.lease.admitted:
             self.renewed_ms = feed.lease.acknowledged_ms
             self.voter.renew_lease(feed.acknowledged_generation)
 
--- a/src/lentilfork/bench/experiment.py
+++ b/src/lentilfork/bench/experiment.py
@@ -9,6 +9,7 @@
 from typing import get_args
 
 from lentilfork.bench.baseline_deployment import BaselineDeployment
+from lentilfork.bench.callers import DEFAULT_REPEATS
 from lentilfork.bench.callers import Target
 from lentilfork.bench.crowd import list_targets
 from lentilfork.bench.deployment import Deployment
@@ -155,7 +156,7 @@
 
 
 def start_loads(
-    deployment: Deployment, trace: Trace, begins: float
+    deployment: Deployment, trace: Trace, begins: float, repeats: int = DEFAULT_REPEATS
 ) -> list[tuple[Process, Path]]:
     """Start the load processes; returns them with the files they write."""
     path = deployment.folder / "trace.jsonl"
@@ -171,6 +172,7 @@
             shares=LOAD_PROCESSES,
             start_at=begins,
             records=records,
+            repeats=repeats,
         )
         name = f"load-{share}"
         file = deployment.write_file(f"{name}.json", config.model_dump(mode="json"))
--- a/src/lentilfork/borders/backends.py
+++ b/src/lentilfork/borders/backends.py
@@ -80,6 +80,9 @@
             options=(
                 ("grpc.enable_http_proxy", 0),
                 ("grpc.enable_retries", 0),
+                # gRPC reports an answer over its own limit as RESOURCE_EXHAUSTED,
+                # which must mean that the request did not run.
+                ("grpc.max_receive_message_length", -1),
                 ("grpc.initial_reconnect_backoff_ms", 100),
                 ("grpc.max_reconnect_backoff_ms", 500),
             ),
@@ -102,6 +105,8 @@
             )
         except grpc.aio.AioRpcError as error:
             return self.explain("call", error)
+        if len(reply.payload) > MAXIMUM_ANSWER_SIZE:
+            return self.fail("call", BackendError.FAILED, "answer too long")
         return Ok(Answer(reply.code, reply.payload, reply.etag))
 
     async def fetch(
--- a/src/lentilfork/claims/runner.py
+++ b/src/lentilfork/claims/runner.py
@@ -56,9 +56,9 @@
 
 __all__ = ["ClaimClient"]
 
-CALL_TIMEOUT_S: Final = 0.5
+CALL_TIMEOUT_S: Final = 1.0
 FIRST_BACKOFF_S: Final = 0.01
-MAXIMUM_BACKOFF_S: Final = 0.25
+MAXIMUM_BACKOFF_S: Final = 1.0
 ATTEMPT_ID_BYTES: Final = 16
 # Withdrawals and calls left over from decided rounds.
 MAXIMUM_BACKGROUND_TASKS: Final = 2_000
--- a/src/lentilfork/dispatcher.py
+++ b/src/lentilfork/dispatcher.py
@@ -41,6 +41,7 @@
 from lentilfork.schema import packets_pb2
 from lentilfork.settings import split_address
 from lentilfork.state.model import ClusterState
+from lentilfork.state.model import Preset
 
 if TYPE_CHECKING:
     from lentilfork.counters import Counters
@@ -62,6 +63,8 @@
     own: str
     service: str
     table: RoutingTable
+    # Limits in force.
+    limits: Preset
     # Agents that serve exchanges and downloads of own buckets.
     exchanges: Directory
     downloads: Directory
@@ -78,6 +81,7 @@
         send: SendEnvelope,
         answer: Callable[[bytes], None],
         serve: Callable[[Job], None],
+        refuse: Callable[[Job], None],
         measure_load: Callable[[], LoadReport],
         holds: Callable[[bytes], bool],
     ) -> None:
@@ -87,9 +91,11 @@
         self.send = send
         self.answer = answer
         self.serve = serve
+        self.refuse = refuse
         self.measure_load = measure_load
         self.holds = holds
         self.table = RoutingTable(ClusterState())
+        self.limits = ClusterState().limits
         self.exchanges = Directory(EXCHANGE_LIFETIME_S)
         self.downloads = Directory(DOWNLOAD_LIFETIME_S)
         self.loads = LoadBook()
@@ -99,6 +105,7 @@
     def update(self, old: ClusterState, new: ClusterState) -> None:
         """Take a new generation into force."""
         self.table = RoutingTable(new, self.table)
+        self.limits = new.limits
         agents = {agent.name: agent for agent in new.list_agents(self.service)}
         self.loads.retain(set(agents))
         gone = [a for a in old.list_agents(self.service) if a.name not in agents]
@@ -236,6 +243,12 @@
             # No agent may take new work: this one refuses it for all.
             self.serve(job)
             return
+        running = bool(job.request.block_number)
+        if not running and not self.loads.has_room(agent, self.limits, now):
+            # Even the best has none, so the owners share the work of refusing.
+            self.counters.add("refused", "all agents full")
+            self.refuse(job)
+            return
         self.record(job, agent.name, now)
         self.hand_out(job, agent)
 
--- a/src/lentilfork/once.py
+++ b/src/lentilfork/once.py
@@ -77,20 +77,15 @@
 
     async def run(self, job: Job, runner: Runner) -> Answer | None:
         """Return the answer; None if another agent gives it, or nobody."""
-        key, exchange = make_keys(job)
         if not runner.can_take(job):
             if not job.tried and runner.retry_elsewhere(job):
                 # Nothing was claimed here, so another agent may claim it.
                 return None
-            if not self.refusals.spend():
-                # Silence costs nothing, and the caller's next copy comes later.
-                self.counters.add("dropped", DropReason.OVERLOADED)
-                return None
-            if await self.refuse_unclaimed(job, key, exchange):
-                return make_not_run_answer(COME_BACK_S, "overloaded")
+            return await self.refuse_new(job)
         if self.claiming >= MAXIMUM_CLAIMS:
             self.counters.add("dropped", DropReason.OVERLOADED)
             return None
+        key, exchange = make_keys(job)
         while time.monotonic() < job.deadline:
             outcome = await self.claim(job, key, exchange)
             if isinstance(outcome, claims.HeldElsewhere):
@@ -186,14 +181,21 @@
             if runner.agent in agents
         )
 
-    async def refuse_unclaimed(self, job: Job, key: bytes, exchange: bytes) -> bool:
-        """Record that a request will not run, without claiming it first.
+    async def refuse_new(self, job: Job) -> Answer | None:
+        """Refuse a request that was not claimed here; None: say nothing.
 
-        False where another copy of it may run or no majority answered.
+        Silence costs nothing, and the caller's next copy comes later.
         """
+        if not self.refusals.spend():
+            self.counters.add("dropped", DropReason.OVERLOADED)
+            return None
+        key, exchange = make_keys(job)
         deadline = min(job.deadline, time.monotonic() + REFUSAL_TIMEOUT_S)
         service = job.service.name
-        return await self.client.refuse(service, key, exchange, deadline)
+        if await self.client.refuse(service, key, exchange, deadline):
+            return make_not_run_answer(COME_BACK_S, "overloaded")
+        # Another copy may run, or no majority answered.
+        return None
 
     async def refuse(
         self, grant: claims.Grant, job: Job, failure: Refusal | BackendFailure
--- a/src/lentilfork/routing/loads.py
+++ b/src/lentilfork/routing/loads.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from lentilfork.state.model import Agent
+from lentilfork.state.model import Preset
 
 __all__ = ["LoadBook", "LoadReport"]
 
@@ -16,10 +17,9 @@
 MINIMUM_WEIGHT_PERCENT: Final = 1
 FULL_WEIGHT_PERCENT: Final = 100
 US_PER_S: Final = 1_000_000
+US_PER_MS: Final = 1_000
 # A placement whose end was never reported stops counting after this time.
 PLACEMENT_LIFETIME_S: Final = 10.0
-# What others placed, as heard in a report, loses half its worth in this time.
-FOREIGN_HALF_LIFE_S: Final = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,12 +54,17 @@
         self.foreign = 0
         self.placed = {}
 
-    def count_outstanding(self, now: float) -> float:
-        """Return the requests believed to run or wait there."""
+    def count_outstanding(self, slots: int, now: float) -> float:
+        """Return the requests believed to run or wait there.
+
+        What others placed is worked off at the agent's pace since its report.
+        """
         self.forget_lost(now)
-        age = now - self.reported_at
-        foreign = self.foreign * float(0.5 ** (age / FOREIGN_HALF_LIFE_S))
-        return len(self.placed) + foreign
+        ended = 0.0
+        if self.report is not None:
+            time_us = self.report.service_time_us or DEFAULT_SERVICE_TIME_US
+            ended = (now - self.reported_at) * US_PER_S / time_us * slots
+        return len(self.placed) + max(0.0, self.foreign - ended)
 
     def forget_lost(self, now: float) -> None:
         """Drop placements whose end was never reported."""
@@ -104,9 +109,16 @@
 
     def has_free_slot(self, agent: Agent, now: float) -> bool:
         """Return whether a new request there would probably run at once."""
-        outstanding = self.find(agent.name).count_outstanding(now)
+        outstanding = self.find(agent.name).count_outstanding(agent.slots, now)
         return round(outstanding) < agent.slots
 
+    def has_room(self, agent: Agent, limits: Preset, now: float) -> bool:
+        """Return whether a new request there would probably be admitted."""
+        outstanding = self.find(agent.name).count_outstanding(agent.slots, now)
+        most = agent.slots * (1 + limits.queue_per_slot)
+        wait_us = self.estimate_wait_us(agent, now)
+        return outstanding < most and wait_us <= limits.queue_time_ms * US_PER_MS
+
     def estimate_speed(self, agent: str) -> float:
         """Return the requests per second a slot of an agent should be given."""
         report = self.find(agent).report
@@ -119,7 +131,7 @@
 
     def estimate_wait_us(self, agent: Agent, now: float) -> float:
         """Return the expected time until a new request there has ended."""
-        ahead = self.find(agent.name).count_outstanding(now)
+        ahead = self.find(agent.name).count_outstanding(agent.slots, now)
         rounds = max(1.0, (ahead + 1) / agent.slots)
         return rounds * US_PER_S / self.estimate_speed(agent.name)
 
--- a/src/lentilfork/runner.py
+++ b/src/lentilfork/runner.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import time
+from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 from typing import Final
@@ -19,6 +20,7 @@
 
 from lentilfork.admission import EndpointWeight
 from lentilfork.admission import Refusal
+from lentilfork.admission import RefusalReason
 from lentilfork.admission import RetryBudget
 from lentilfork.admission import SlotQueue
 from lentilfork.borders.backends import BackendError
@@ -60,6 +62,9 @@
     async def run(self, job: Job, runner: "Runner") -> Answer | None:
         """Return the answer; None if another agent gives it."""
 
+    async def refuse_new(self, job: Job) -> Answer | None:
+        """Return the answer that a request did not run; None: say nothing."""
+
 
 class Runner:
     """Serves the requests that were placed at this agent."""
@@ -111,6 +116,22 @@
 
     def accept(self, job: Job) -> None:
         """Begin to serve a request, or answer a copy of one."""
+        self.begin(job, self.find_answer)
+
+    def refuse(self, job: Job) -> None:
+        """Refuse a request for which no agent has room, or answer a copy of one."""
+        self.begin(job, self.find_refusal)
+
+    async def find_refusal(self, job: Job) -> Answer | None:
+        """Return the answer to a request for which no agent has room."""
+        if not job.request.idempotent:
+            return await self.once.refuse_new(job)
+        return make_not_run_answer(COME_BACK_S, RefusalReason.QUEUE_FULL)
+
+    def begin(
+        self, job: Job, find_answer: Callable[[Job], Awaitable[Answer | None]]
+    ) -> None:
+        """Start the task of a request, unless it is a copy of one that is known."""
         key = job.exchange_key
         known = self.exchanges.find(key)
         if known is not None:
@@ -123,15 +144,20 @@
             return
         self.exchanges.begin(key)
         self.jobs[key] = job
-        task = asyncio.create_task(self.serve(job, key))
+        task = asyncio.create_task(self.serve(job, key, find_answer))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def serve(self, job: Job, key: bytes) -> None:
+    async def serve(
+        self,
+        job: Job,
+        key: bytes,
+        find_answer: Callable[[Job], Awaitable[Answer | None]],
+    ) -> None:
         """Find the answer of one request and send it."""
         answer: Answer | None = make_outcome_unknown_answer()
         try:
-            answer = await self.find_answer(job)
+            answer = await find_answer(job)
         except Exception:
             # The caller is told in any case; what failed is in the log.
             self.counters.add("failures", "internal")
--- a/tests/borders/test_packets.py
+++ b/tests/borders/test_packets.py
@@ -48,6 +48,7 @@
         send=lambda _envelope, _address: None,
         answer=lambda _packet: None,
         serve=served.append,
+        refuse=served.append,
         measure_load=lambda: LoadReport("agent-1", 0, 0, 0, 100, 1),
         holds=lambda _key: False,
     )
