--- a/src/lentilfork/bench/capacity_page.py
+++ b/src/lentilfork/bench/capacity_page.py
@@ -69,6 +69,7 @@
     """Return the cells of a line of the target."""
     margin = f"{row.margin:.2f} times"
     verdict = "met" if row.margin >= 1 else "**not met**"
+    verdict = verdict if row.shown else "**not shown**, a slope falls"
     return (
         row.name,
         f"{row.needed:,.4g} {row.unit}",
--- a/src/lentilfork/bench/capacity_target.py
+++ b/src/lentilfork/bench/capacity_target.py
@@ -34,6 +34,9 @@
     worked_out: float
     # More is better, as for a rate; else less is.
     floor: bool = False
+    # Whether every slope behind it grows with its size, as cost must; one that
+    # falls is noise of the run, and what it is worked out to shows nothing.
+    shown: bool = True
 
     @property
     def margin(self) -> float:
@@ -55,6 +58,12 @@
         """Return the slope of that name, at least 0; raises KeyError."""
         return max(0.0, float(self.document["slopes"][name]["slope"]))
 
+    def grows(self, name: str) -> bool:
+        """Tell whether a slope grows and all its values are above zero."""
+        slope = self.document["slopes"][name]
+        values = [value for _, value in slope["points"]]
+        return float(slope["slope"]) > 0 and min(values) > 0
+
     def get_total(self, name: str) -> float:
         """Return a figure measured once; raises KeyError."""
         return float(self.document["totals"][name])
@@ -128,6 +137,8 @@
             "B/s",
             CONTROL_BYTES_PER_S,
             steady_bytes + change_bytes * CHANGES_PER_DAY / DAY_S,
+            shown=capacity.grows("balancer, steady bytes")
+            and capacity.grows("balancer, change bytes"),
         ),
         Row(
             "processor of the busiest controller, steady",
@@ -140,6 +151,7 @@
             "s",
             LONGEST_SPREAD_S,
             capacity.reckon("controller, change processor", MEMBERS),
+            shown=capacity.grows("controller, change processor"),
         ),
         Row("hosts set aside for control", "hosts", 7, CONTROLLERS),
     ]
