--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,56 @@
+"""Leaving: no new work after 3 s, and all that runs is brought to its end."""
+
+import asyncio
+import time
+from pathlib import Path
+
+import pytest
+
+from lentilfork.bench.crowd import Crowd
+from lentilfork.bench.deployment import Deployment
+from lentilfork.bench.verdict import judge_run
+from lentilfork.bench.workload import Kind
+from tests.deployments import SEED
+from tests.deployments import SMALL_CROWD
+from tests.deployments import load_example
+from tests.deployments import open_deployment
+from tests.deployments import print_broken
+
+pytestmark = pytest.mark.deployment
+
+PAUSES_S = {Kind.LOOKUP: 0.2, Kind.CHANGE: 0.2, Kind.DOWNLOAD: 0.3}
+NEW_WORK_S = 3.0
+BEFORE_S = 2.0
+AFTER_S = 6.0
+LEAVING = ("warnings-7", "artwork-3")
+
+
+async def drain_server(deployment: Deployment, agent: str) -> None:
+    await deployment.set_behaviour(agent, draining=True)
+
+
+async def stop_agent(deployment: Deployment, agent: str) -> None:
+    deployment.get_process(agent).terminate()
+
+
+WAYS = {"backend server drains": drain_server, "agent is stopped": stop_agent}
+
+
+@pytest.mark.parametrize("way", WAYS)
+async def test_leaving_endpoint_gets_no_new_work(way: str, tmp_path: Path) -> None:
+    async with open_deployment(load_example("guild"), tmp_path) as deployment:
+        async with Crowd(deployment, SMALL_CROWD, PAUSES_S, SEED) as crowd:
+            await asyncio.sleep(BEFORE_S)
+            left_at = time.time()
+            for agent in LEAVING:
+                await WAYS[way](deployment, agent)
+            await asyncio.sleep(AFTER_S)
+        runs = deployment.list_runs()
+    print_broken(crowd.records)
+    servers = {f"server-{agent}" for agent in LEAVING}
+    on_leaving = [run.started for run in runs if run.server in servers]
+    assert any(started < left_at for started in on_leaving)
+    assert [s for s in on_leaving if s > left_at + NEW_WORK_S] == []
+    verdict = judge_run(crowd.records, runs)
+    assert verdict.good, verdict
+    assert verdict.complete == verdict.sent
