--- a/src/lentilfork/once.py
+++ b/src/lentilfork/once.py
@@ -25,6 +25,7 @@
 from lentilfork.borders.callers import make_outcome_unknown_answer
 from lentilfork.errors import DropReason
 from lentilfork.jobs import Job
+from lentilfork.runner import COME_BACK_S
 from lentilfork.runner import Runner
 from lentilfork.runner import explain_failure
 from lentilfork.schema import backend_pb2
@@ -35,7 +36,6 @@
 
 __all__ = ["ClaimedRunner"]
 
-COME_BACK_S: Final = 1
 # Time to record how a request ended, beyond its caller's deadline.
 SETTLE_TIMEOUT_S: Final = 10.0
 # Time kept back from the deadline to record a refusal and tell the caller.
--- a/src/lentilfork/runner.py
+++ b/src/lentilfork/runner.py
@@ -45,11 +45,12 @@
     from lentilfork.state.model import ClusterState
     from lentilfork.state.model import Preset
 
-__all__ = ["OnceRunner", "Runner", "explain_failure"]
+__all__ = ["COME_BACK_S", "OnceRunner", "Runner", "explain_failure"]
 
 LOG: Final = Logger("runner")
 # Requests taken in at once; more are dropped, and their callers send them again.
 MAXIMUM_JOBS: Final = 256
+# Time after which a refused caller may come back, unless the queue tells better.
 COME_BACK_S: Final = 1
 # Answers from this code number on tell of an error: 4.00.
 FIRST_ERROR_CODE: Final = 128
