--- /dev/null
+++ b/deploy/node.py
@@ -0,0 +1,11 @@
+"""Entry of the programs on the platform: the sources are not installed there."""
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+
+from lentilfork.platform.main import main  # noqa: E402
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/lentilfork/agreement/joining.py
+++ b/src/lentilfork/agreement/joining.py
@@ -10,7 +10,7 @@
 Joining: a replica that has no vote, because it is new or because its folder is
 not the one it was admitted with, asks the leader. It is admitted as a learner
 and promoted once it holds all that is committed, in place of its former self or
-of a voter that has been silent for `REPLACE_SILENT_S`; else it stays a spare.
+of a voter that has been silent for `replace_silent_ms`; else it stays a spare.
 """
 
 import asyncio
@@ -39,8 +39,8 @@
 JOIN_INTERVAL_S: Final = 0.3
 CALL_TIMEOUT_S: Final = 1.0
 ADMIT_TIMEOUT_S: Final = 2.0
-REPLACE_SILENT_S: Final = 20.0
 MAXIMUM_FIRST_TERM: Final = 1 << 20
+MS_PER_S: Final = 1_000
 
 
 class Joining:
@@ -76,6 +76,8 @@
     async def may_begin(self) -> bool:
         """Tell whether this replica may write the first entry of all."""
         peers = self.core.settings.controllers
+        if not self.core.settings.may_begin:
+            return False
         if self.core.name != min(peer.name for peer in peers):
             return False
         replies = await self.identify_peers()
@@ -200,6 +202,8 @@
     def count_votes(self, configuration: Configuration) -> int:
         """Return how many voters there should be: the odd number set up."""
         voters = len(list_voters(configuration))
+        if self.core.settings.voters is not None:
+            return self.core.settings.voters
         # Demotion leaves an even number; an even number is one vote short.
         return voters + 1 if voters % 2 == 0 else voters
 
@@ -232,15 +236,16 @@
 
 
 def find_silent_voter(leadership: Leadership) -> Controller | None:
-    """Return a voter that confirmed nothing for `REPLACE_SILENT_S`."""
+    """Return a voter that confirmed nothing for `replace_silent_ms`."""
     now_s = leadership.core.get_time_s()
+    limit_s = leadership.core.settings.replace_silent_ms / MS_PER_S
     voters = list_voters(leadership.core.configuration)
     return next(
         (
             voter
             for voter in voters
             if (peer := leadership.peers.get(voter.name)) is not None
-            and now_s - peer.heard_s >= REPLACE_SILENT_S
+            and now_s - peer.heard_s >= limit_s
         ),
         None,
     )
--- a/src/lentilfork/agreement/leadership.py
+++ b/src/lentilfork/agreement/leadership.py
@@ -203,6 +203,17 @@
         }
         return has_majority(self.core.configuration, heard | {self.core.name})
 
+    def was_confirmed_since(self, started_s: float) -> bool:
+        """Tell whether a majority confirmed requests sent after a moment."""
+        confirmed = {
+            name
+            for name, peer in self.peers.items()
+            if self.is_counted(peer) and peer.heard_s > started_s
+        }
+        if self.core.is_voter:
+            confirmed.add(self.core.name)
+        return has_majority(self.core.configuration, confirmed)
+
     async def watch_quorum(self) -> None:
         """Step down when no majority confirms this leader any more."""
         while self.is_current:
--- a/src/lentilfork/agreement/replica.py
+++ b/src/lentilfork/agreement/replica.py
@@ -30,6 +30,7 @@
 from lentilfork.agreement.proposals import PROPOSE_TIMEOUT_S
 from lentilfork.agreement.proposals import Proposals
 from lentilfork.agreement.proposals import ProposeFailure
+from lentilfork.agreement.reads import Reads
 from lentilfork.agreement.servicer import AgreementServicer
 from lentilfork.agreement.storage import Storage
 from lentilfork.agreement.storage import StorageError
@@ -70,6 +71,7 @@
     following: Following
     proposals: Proposals
     joining: Joining
+    reads: Reads
     servicer: AgreementServicer
     # The term in which this replica leads; None while it does not.
     leadership: Leadership | None
@@ -89,7 +91,9 @@
     ) -> None:
         self.settings = settings
         self.counters = counters
-        storage = Storage(files or OsFiles(settings.data_folder))
+        storage = Storage(
+            files or OsFiles(settings.data_folder), sealed=settings.sealed_folder
+        )
         routes = {peer.address: peer.via for peer in settings.controllers if peer.via}
         transport = transport or GrpcTransport(channels, routes)
         self.core = Core(settings, transport, counters, randomness, storage)
@@ -98,6 +102,7 @@
         self.following = Following(self.core, self.election)
         self.proposals = Proposals(self.core, lambda: self.leadership)
         self.joining = Joining(self.core, self.proposals, lambda: self.leadership)
+        self.reads = Reads(self.core, lambda: self.leadership)
         self.servicer = AgreementServicer(self)
         self.leadership = None
         self.running = False
@@ -248,6 +253,10 @@
         """
         return await self.proposals.propose(change, timeout_s)
 
+    async def confirm_read(self) -> Result[None, Failure]:
+        """Return once `state` holds all that was acknowledged before this call."""
+        return await self.reads.confirm()
+
     async def submit(
         self, change: state_pb2.Change, timeout_s: float | None
     ) -> agreement_pb2.ProposeReply:
--- a/src/lentilfork/agreement/servicer.py
+++ b/src/lentilfork/agreement/servicer.py
@@ -99,6 +99,12 @@
         """Admit a replica, if this one leads."""
         return await self.finish(self.replica.joining.handle_join(request), context)
 
+    async def ConfirmRead(  # noqa: N802
+        self, _request: agreement_pb2.ReadRequest, context: Context
+    ) -> agreement_pb2.ReadReply:
+        """Confirm a read if this replica leads."""
+        return await self.finish(self.replica.reads.handle_confirm(), context)
+
     async def Identify(  # noqa: N802
         self, _request: agreement_pb2.IdentifyRequest, _context: Context
     ) -> agreement_pb2.IdentifyReply:
--- a/src/lentilfork/agreement/storage.py
+++ b/src/lentilfork/agreement/storage.py
@@ -80,11 +80,14 @@
     log_bytes: int
     # Why writing fails at present; None when all is well.
     failure: Failure | None
+    # Whether the folder is told from a copy by its inode and change time.
+    sealed: bool
     # The folder was a copy, or came without its identity, when it was opened.
     renewed: bool
 
-    def __init__(self, files: Files) -> None:
+    def __init__(self, files: Files, *, sealed: bool = True) -> None:
         self.files = files
+        self.sealed = sealed
         self.disk_id = 0
         self.vote = agreement_pb2.StoredVote()
         self.log_number = 0
@@ -215,9 +218,8 @@
             self.read_message(IDENTITY, identity)
             seal = self.read_message(SEAL, agreement_pb2.StoredSeal())
             mark = (seal.inode, seal.changed_ns)
-            if seal.disk_id == identity.disk_id and mark == self.files.get_mark(
-                IDENTITY
-            ):
+            genuine = not self.sealed or mark == self.files.get_mark(IDENTITY)
+            if seal.disk_id == identity.disk_id and genuine:
                 self.disk_id = identity.disk_id
                 return
         self.renewed = True
--- a/src/lentilfork/agreement/transport.py
+++ b/src/lentilfork/agreement/transport.py
@@ -12,6 +12,7 @@
 from typing import Protocol
 from typing import TypeVar
 
+import grpc
 import grpc.aio
 
 from lentilfork.channels import Channels
@@ -59,6 +60,11 @@
     ) -> agreement_pb2.JoinReply:
         """Ask to be admitted."""
 
+    async def confirm_read(
+        self, address: str, timeout_s: float
+    ) -> agreement_pb2.ReadReply:
+        """Ask the leader for an index to read at."""
+
     async def identify(
         self, address: str, timeout_s: float
     ) -> agreement_pb2.IdentifyReply:
@@ -89,14 +95,18 @@
     ) -> agreement_pb2.VoteReply:
         """Ask for a vote."""
         stub = self.make_stub(address)
-        return await complete(stub.RequestVote(request, timeout=timeout_s))
+        return await self.complete(
+            address, stub.RequestVote(request, timeout=timeout_s)
+        )
 
     async def append_entries(
         self, address: str, request: agreement_pb2.AppendRequest, timeout_s: float
     ) -> agreement_pb2.AppendReply:
         """Hand over entries, or none as a heartbeat."""
         stub = self.make_stub(address)
-        return await complete(stub.AppendEntries(request, timeout=timeout_s))
+        return await self.complete(
+            address, stub.AppendEntries(request, timeout=timeout_s)
+        )
 
     async def install_snapshot(
         self,
@@ -106,21 +116,33 @@
     ) -> agreement_pb2.AppendReply:
         """Hand over a snapshot in parts."""
         stub = self.make_stub(address)
-        return await complete(stub.InstallSnapshot(stream(chunks), timeout=timeout_s))
+        return await self.complete(
+            address, stub.InstallSnapshot(stream(chunks), timeout=timeout_s)
+        )
 
     async def propose(
         self, address: str, change: state_pb2.Change, timeout_s: float
     ) -> agreement_pb2.ProposeReply:
         """Pass a change on to the leader."""
         stub = self.make_stub(address)
-        return await complete(stub.Propose(change, timeout=timeout_s))
+        return await self.complete(address, stub.Propose(change, timeout=timeout_s))
 
     async def join(
         self, address: str, request: agreement_pb2.JoinRequest, timeout_s: float
     ) -> agreement_pb2.JoinReply:
         """Ask to be admitted."""
         stub = self.make_stub(address)
-        return await complete(stub.Join(request, timeout=timeout_s))
+        return await self.complete(address, stub.Join(request, timeout=timeout_s))
+
+    async def confirm_read(
+        self, address: str, timeout_s: float
+    ) -> agreement_pb2.ReadReply:
+        """Ask the leader for an index to read at."""
+        stub = self.make_stub(address)
+        request = agreement_pb2.ReadRequest()
+        return await self.complete(
+            address, stub.ConfirmRead(request, timeout=timeout_s)
+        )
 
     async def identify(
         self, address: str, timeout_s: float
@@ -128,17 +150,22 @@
         """Ask for the identity of a peer's data folder."""
         request = agreement_pb2.IdentifyRequest()
         stub = self.make_stub(address)
-        return await complete(stub.Identify(request, timeout=timeout_s))
+        return await self.complete(address, stub.Identify(request, timeout=timeout_s))
 
+    async def complete(self, address: str, call: Awaitable[T]) -> T:
+        """Return the answer to a call; TransportError if there is none.
 
-async def complete(call: Awaitable[T]) -> T:
-    """Return the answer to a call; TransportError if there is none."""
-    try:
-        return await call
-    except grpc.aio.AioRpcError as error:
-        raise TransportError(f"{error.code().name}: {error.details()}") from error
-    except grpc.aio.UsageError as error:
-        raise TransportError(str(error)) from error
+        A call that timed out drops the channel: its connection may have gone
+        silent, and a new one is at once as good as a healthy old one.
+        """
+        try:
+            return await call
+        except grpc.aio.AioRpcError as error:
+            if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
+                await self.channels.abandon(self.routes.get(address, address))
+            raise TransportError(f"{error.code().name}: {error.details()}") from error
+        except grpc.aio.UsageError as error:
+            raise TransportError(str(error)) from error
 
 
 async def stream(
--- a/src/lentilfork/channels.py
+++ b/src/lentilfork/channels.py
@@ -37,12 +37,16 @@
 KEEPALIVE_TIME_MS: Final = 2_000
 KEEPALIVE_TIMEOUT_MS: Final = 2_000
 RECONNECT_BACKOFF_MS: Final = 500
+# The library's own minimum of 20 s outlasts any cut of a few seconds.
+CONNECT_TIMEOUT_MS: Final = 500
 # How often the certificate files are looked at, at the most.
 CHECK_INTERVAL_S: Final = 1.0
 # Calls on channels with replaced certificates may go on for this long.
 RETIRED_S: Final = 600.0
 # A connection without a call for this long after it was opened was refused.
 HANDSHAKE_TIMEOUT_S: Final = 5.0
+# Calls on an abandoned channel may go on for this long, a snapshot included.
+ABANDONED_S: Final = 25.0
 MAXIMUM_PEERS: Final = 16_384
 BEHAVIOURS: Final = ("unary_unary", "unary_stream", "stream_unary", "stream_stream")
 
@@ -50,6 +54,7 @@
     ("grpc.keepalive_time_ms", KEEPALIVE_TIME_MS),
     ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
     ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", CONNECT_TIMEOUT_MS),
     ("grpc.max_reconnect_backoff_ms", RECONNECT_BACKOFF_MS),
     ("grpc.enable_http_proxy", 0),
     ("grpc.use_local_subchannel_pool", 1),
@@ -178,13 +183,27 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
             self.check()
 
+    async def abandon(self, address: str) -> None:
+        """Let later calls to a peer open a new connection."""
+        channel = self.open.pop(address, None)
+        if channel is not None:
+            self.retired.append((time.monotonic() + ABANDONED_S, channel))
+        await self.close_retired()
+
+    async def close_retired(self) -> None:
+        """Close the retired channels whose time has come."""
+        now_s = time.monotonic()
+        due = [item for item in self.retired if item[0] < now_s]
+        for item in due:
+            self.retired.remove(item)
+            await item[1].close(None)
+
     async def drop(self, address: str) -> None:
         """Close the channel to a peer that is gone, and retired ones in time."""
         channel = self.open.pop(address, None)
         if channel is not None:
             await channel.close(None)
-        while self.retired and self.retired[0][0] < time.monotonic():
-            await self.retired.popleft()[1].close(None)
+        await self.close_retired()
 
     async def close(self) -> None:
         """Close all channels."""
--- /dev/null
+++ b/src/lentilfork/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding of packet flows whose ends lie outside the system."""
--- /dev/null
+++ b/src/lentilfork/forwarding/agent.py
@@ -0,0 +1,275 @@
+"""An agent of forwarded flows: owner of some, server of others.
+
+It reads datagrams of other processes, keeps its record and its load told to them,
+and runs the timers of the owner and of the delivery.
+"""
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Final
+
+from google.protobuf.message import DecodeError
+
+from lentilfork.counters import Counters
+from lentilfork.forwarding.backend_server import BackendServer
+from lentilfork.forwarding.backend_server import ServerAnnouncement
+from lentilfork.forwarding.decisions import DecisionLog
+from lentilfork.forwarding.delivery import FlowDelivery
+from lentilfork.forwarding.envelopes import Kind
+from lentilfork.forwarding.envelopes import decode_envelope
+from lentilfork.forwarding.envelopes import decode_note
+from lentilfork.forwarding.flows import FlowBook
+from lentilfork.forwarding.loads import US_PER_S
+from lentilfork.forwarding.loads import LoadBook
+from lentilfork.forwarding.ownership import FlowOwner
+from lentilfork.forwarding.packets import PacketCodec
+from lentilfork.forwarding.packets import hash_name
+from lentilfork.forwarding.roster import AgentRecord
+from lentilfork.forwarding.roster import Roster
+from lentilfork.logs import Logger
+from lentilfork.schema import roster_pb2
+
+__all__ = ["FlowAgent"]
+
+SocketName = tuple[str, int]
+# Load reports follow a change at once but not more often than this for each peer.
+REPORT_INTERVAL_PER_PEER_S: Final = 0.003
+MINIMUM_REPORT_INTERVAL_S: Final = 0.015
+LONGEST_REPORT_INTERVAL_S: Final = 0.25
+# A backend server that leaves so many SYNs in a row unanswered for so long is down.
+UNANSWERED_SYNS: Final = 3
+UNANSWERED_S: Final = 0.15
+FORGET_INTERVAL_S: Final = 1.0
+
+log = Logger("agent")
+
+
+class FlowAgent:
+    """The decisions of one agent process, without its sockets."""
+
+    record: AgentRecord
+    roster: Roster
+    server: BackendServer
+    loads: LoadBook
+    book: FlowBook
+    owner: FlowOwner
+    delivery: FlowDelivery
+    counters: Counters
+    decisions: DecisionLog
+    idle_timeout_s: float
+    reported_at: float
+    report_sequence: int
+    # What the last report said.
+    reported: tuple[int, bool]
+    forgot_at: float
+    # Sends a datagram to another process.
+    send: Callable[[bytes, SocketName], None]
+    # Tells controllers of a changed record.
+    announce: Callable[[], None]
+
+    def __init__(
+        self,
+        record: AgentRecord,
+        codec: PacketCodec,
+        roster: Roster,
+        server: BackendServer,
+        counters: Counters,
+        knows_all_since: float,
+    ) -> None:
+        self.record = record
+        self.roster = roster
+        self.server = server
+        self.counters = counters
+        self.decisions = DecisionLog()
+        self.loads = LoadBook()
+        self.book = FlowBook(record.slots)
+        self.idle_timeout_s = 15.0
+        self.owner = FlowOwner(
+            record.name,
+            codec,
+            roster,
+            self.loads,
+            counters,
+            self.decisions,
+            self.idle_timeout_s,
+        )
+        self.delivery = FlowDelivery(
+            record.name,
+            hash_name(record.service),
+            hash_name(record.data_centre),
+            codec,
+            roster,
+            self.owner,
+            self.book,
+            counters,
+            self.decisions,
+            knows_all_since,
+        )
+        self.owner.deliver = self.delivery.deliver
+        self.reported_at = float("-inf")
+        self.report_sequence = 0
+        self.reported = (-1, False)
+        self.forgot_at = float("-inf")
+
+    def connect(
+        self,
+        send: Callable[[bytes, SocketName], None],
+        send_to_caller: Callable[[bytes, int], None],
+        send_to_server: Callable[[bytes], None],
+        announce: Callable[[], None],
+    ) -> None:
+        """Set where packets go out."""
+        self.send = send
+        self.announce = announce
+        self.owner.send = self.delivery.send = send
+        self.owner.send_to_caller = self.delivery.send_to_caller = send_to_caller
+        self.delivery.send_to_server = send_to_server
+
+    def take_datagram(
+        self, kind: Kind, data: bytes, sender: SocketName, now: float
+    ) -> None:
+        """Handle a datagram of a balancer or another agent."""
+        match kind:
+            case Kind.ROUTE | Kind.DELIVER:
+                self.take_envelope(kind, data, sender, now)
+            case Kind.NOTE:
+                note = decode_note(data)
+                if note is None:
+                    self.counters.add("datagrams_dropped", "malformed")
+                else:
+                    self.owner.take_note(*note, now)
+            case Kind.LOAD:
+                self.take_load(data, now)
+            case _:
+                self.counters.add("datagrams_dropped", "unexpected")
+
+    def take_envelope(
+        self, kind: Kind, data: bytes, sender: SocketName, now: float
+    ) -> None:
+        """Handle a caller's packet."""
+        envelope = decode_envelope(data, sender)
+        packet = self.owner.codec.parse(envelope.data) if envelope else None
+        if envelope is None or packet is None:
+            self.counters.add("datagrams_dropped", "malformed")
+            return
+        if kind is Kind.ROUTE:
+            # An offer made here is confirmed here.
+            envelope.sender = None
+            self.owner.route(envelope, packet, now)
+        else:
+            self.delivery.deliver(envelope, packet, now)
+
+    def take_load(self, data: bytes, now: float) -> None:
+        """Take another agent's load."""
+        try:
+            report = roster_pb2.LoadUpdate.FromString(data[1:])
+        except DecodeError:
+            self.counters.add("datagrams_dropped", "malformed")
+            return
+        self.loads.take_report(report, now)
+
+    def take_announcement(self, announcement: ServerAnnouncement, now: float) -> None:
+        """Take what the backend server says of itself."""
+        if self.server.take(announcement, now):
+            # The former incarnation's flows ended with it.
+            self.delivery.reset_all("backend server started anew")
+            self.delivery.knows_all_since = now
+        if self.server.latest is announcement:
+            self.book.slots = announcement.slots
+            self.delivery.unanswered = 0
+        self.update_record(now)
+
+    def take_leave(self, server_id: str, born_ms: int | None, now: float) -> None:
+        """Take that the backend server ends."""
+        self.server.take_leave(server_id, born_ms)
+        self.update_record(now)
+
+    def leave(self, now: float) -> None:
+        """Tell the others that this process is about to stop."""
+        self.record = replace(
+            self.record, leaving=True, sequence=self.record.sequence + 1
+        )
+        self.delivery.accepting = False
+        self.announce()
+        self.report(now)
+
+    def update_record(self, now: float) -> None:
+        """Announce at once if what others should know has changed."""
+        unanswered = (
+            self.delivery.unanswered >= UNANSWERED_SYNS
+            and now - self.delivery.unanswered_since > UNANSWERED_S
+        )
+        accepting = (
+            self.server.is_accepting(now) and not unanswered and not self.record.leaving
+        )
+        self.delivery.accepting = accepting
+        slots = self.server.latest.slots if self.server.latest else self.record.slots
+        if (accepting, slots) == (self.record.accepting, self.record.slots):
+            return
+        log.info(
+            "accepting" if accepting else "not accepting",
+            unanswered=self.delivery.unanswered,
+            silent_ms=round(min(now - self.server.heard_at, 1e6) * 1000),
+        )
+        self.record = replace(
+            self.record,
+            accepting=accepting,
+            slots=slots,
+            sequence=self.record.sequence + 1,
+        )
+        self.announce()
+        self.report(now)
+
+    def tick(self, now: float) -> None:
+        """Run what is due; called every few milliseconds."""
+        self.owner.offer_again(now)
+        self.update_record(now)
+        state = (self.book.outstanding, self.record.accepting)
+        peers = len(self.roster.list_agents(self.delivery.service)) - 1
+        pause_s = max(REPORT_INTERVAL_PER_PEER_S * peers, MINIMUM_REPORT_INTERVAL_S)
+        elapsed_s = now - self.reported_at
+        changed = state != self.reported and elapsed_s >= pause_s
+        if changed or elapsed_s >= LONGEST_REPORT_INTERVAL_S:
+            self.report(now)
+        if now - self.forgot_at >= FORGET_INTERVAL_S:
+            self.forgot_at = now
+            self.book.forget_old(now, self.idle_timeout_s)
+            self.decisions.start_second()
+
+    def report(self, now: float) -> None:
+        """Tell the other agents of the service this one's load."""
+        self.reported_at = now
+        self.reported = (self.book.outstanding, self.record.accepting)
+        self.report_sequence += 1
+        update = roster_pb2.LoadUpdate(
+            agent=self.record.name,
+            incarnation=self.record.incarnation,
+            sequence=self.report_sequence,
+            outstanding=self.book.outstanding,
+            slots=self.book.slots,
+            service_time_us=round(self.book.service_time_s * US_PER_S),
+            accepting=self.record.accepting,
+            slow_percent=self.server.get_slow_percent(now),
+        )
+        self.loads.take_report(update, now)
+        data = bytes((Kind.LOAD,)) + update.SerializeToString()
+        for agent in self.roster.list_agents(self.delivery.service):
+            if agent.name != self.record.name:
+                self.send(data, agent.address)
+
+    def take_roster(self, now: float) -> None:
+        """Act on a changed roster."""
+        self.loads.retain(set(self.roster.agents) | {self.record.name})
+        self.delivery.tell_new_owners(now)
+
+    def dump(self) -> dict[str, object]:
+        """Return the state of the agent as JSON values."""
+        return {
+            "outstanding": self.book.outstanding,
+            "running": self.book.running,
+            "flows": len(self.book.flows),
+            "owned": len(self.owner.directory.entries),
+            "offers": len(self.owner.offers),
+            "service_time_ms": round(self.book.service_time_s * 1000, 2),
+            "accepting": self.record.accepting,
+        }
--- /dev/null
+++ b/src/lentilfork/forwarding/balancer.py
@@ -0,0 +1,112 @@
+"""What a balancer does with a caller's packet: find the route, then the owner.
+
+A balancer keeps nothing for a flow, so any balancer can take any packet. Copies of
+a SYN go to the next owners in order: the first one may be down.
+"""
+
+from collections.abc import Callable
+from typing import Final
+
+from lentilfork.counters import Counters
+from lentilfork.forwarding.decisions import DecisionLog
+from lentilfork.forwarding.envelopes import Envelope
+from lentilfork.forwarding.envelopes import Kind
+from lentilfork.forwarding.envelopes import encode_envelope
+from lentilfork.forwarding.packets import FlowPacket
+from lentilfork.forwarding.packets import PacketCodec
+from lentilfork.forwarding.packets import PacketFlags
+from lentilfork.forwarding.packets import hash_name
+from lentilfork.forwarding.packets import make_caller_key
+from lentilfork.forwarding.roster import Roster
+from lentilfork.forwarding.routes import Route
+from lentilfork.forwarding.routes import RouteIndex
+from lentilfork.routing import find_bucket
+
+__all__ = ["FlowBalancer"]
+
+SocketName = tuple[str, int]
+# A table confirmed by a controller within this time tells that a route is absent.
+FRESH_TABLE_S: Final = 1.0
+
+
+class FlowBalancer:
+    """Forwards callers' packets to the owners of their flows."""
+
+    codec: PacketCodec
+    roster: Roster
+    routes: RouteIndex
+    # When a controller last confirmed that `routes` is the newest version.
+    confirmed_at: float
+    ingress: int
+    counters: Counters
+    decisions: DecisionLog
+    # Sends a datagram to an agent, and a packet to the caller at an address.
+    send: Callable[[bytes, SocketName], None]
+    send_to_caller: Callable[[bytes, int], None]
+
+    def __init__(
+        self,
+        codec: PacketCodec,
+        roster: Roster,
+        data_centre: str,
+        counters: Counters,
+        decisions: DecisionLog,
+    ) -> None:
+        self.codec = codec
+        self.roster = roster
+        self.routes = RouteIndex()
+        self.confirmed_at = float("-inf")
+        self.ingress = hash_name(data_centre)
+        self.counters = counters
+        self.decisions = decisions
+
+    def take_packet(self, data: bytes, now: float) -> None:
+        """Forward a packet that came from a caller."""
+        packet = self.codec.parse(data)
+        if packet is None:
+            self.counters.add("packets_dropped", "malformed")
+            return
+        route = self.routes.routes.get((packet.destination, packet.destination_port))
+        if route is None:
+            self.refuse_unrouted(packet, now)
+            return
+        self.forward(packet, route)
+
+    def refuse_unrouted(self, packet: FlowPacket, now: float) -> None:
+        """Reset a flow without a route, if the table is known to be the newest."""
+        fresh = now - self.confirmed_at <= FRESH_TABLE_S
+        if not fresh or packet.flags & PacketFlags.RST:
+            self.counters.add("packets_dropped", "no_route")
+            return
+        self.counters.add("flows_reset", "no_route")
+        key = make_caller_key(packet)
+        self.decisions.write("reset", key, "no route", version=self.routes.version)
+        self.send_to_caller(self.codec.make_reset(packet), packet.source)
+
+    def forward(self, packet: FlowPacket, route: Route) -> None:
+        """Send a packet to the owner of its flow."""
+        key = make_caller_key(packet)
+        service = hash_name(route.choose_service(find_bucket(key)))
+        owners = self.roster.rank_owners(service, self.ingress, key)
+        if not owners:
+            self.counters.add("packets_dropped", "no_agent")
+            if packet.is_opening and packet.acknowledgement == 0:
+                self.decisions.write(
+                    "reset", key, "no agent", route=self.routes.version
+                )
+                self.send_to_caller(self.codec.make_reset(packet), packet.source)
+            return
+        rank = packet.acknowledgement if packet.is_opening else 0
+        owner = owners[rank % len(owners)]
+        envelope = Envelope(
+            Kind.ROUTE,
+            0,
+            service,
+            self.ingress,
+            route.deadline_ms,
+            route.target_ms,
+            route.priority,
+            packet.data,
+        )
+        self.counters.add("packets_forwarded")
+        self.send(encode_envelope(envelope), owner.address)
--- /dev/null
+++ b/src/lentilfork/forwarding/controller.py
@@ -0,0 +1,296 @@
+"""The controller of forwarded flows: route tables by agreement, and the roster.
+
+A route table is acknowledged once a majority holds it on disk. It is read only
+after a majority confirmed that it is the newest.
+"""
+
+import asyncio
+import random
+import time
+import zlib
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any
+from typing import Final
+
+import grpc.aio
+import xxhash
+from google.protobuf.message import DecodeError
+from result import Err
+from result import Ok
+from result import Result
+
+from lentilfork.agreement import Replica
+from lentilfork.channels import Channels
+from lentilfork.counters import Counters
+from lentilfork.errors import Failure
+from lentilfork.forwarding.envelopes import Kind
+from lentilfork.forwarding.envelopes import read_kind
+from lentilfork.forwarding.hub import RosterHub
+from lentilfork.forwarding.membership import LENGTH_BYTES
+from lentilfork.forwarding.membership import TABLE_PORT_OFFSET
+from lentilfork.forwarding.processes import report_task
+from lentilfork.forwarding.settings import FlowControllerSettings
+from lentilfork.forwarding.sockets import DatagramSocket
+from lentilfork.logs import Logger
+from lentilfork.schema import agreement_pb2_grpc
+from lentilfork.schema import roster_pb2
+from lentilfork.schema import state_pb2
+from lentilfork.settings import ControllerPeer
+from lentilfork.settings import ControllerSettings
+from lentilfork.state.model import ClusterState
+
+__all__ = ["FlowControllerRole", "StoredTable"]
+
+SocketName = tuple[str, int]
+SWEEP_INTERVAL_S: Final = 0.1
+SERVER_GRACE_S: Final = 0.3
+STEP: Final = "start controller"
+
+log = Logger("controller")
+
+
+def make_settings(settings: FlowControllerSettings) -> ControllerSettings:
+    """Return the settings of the agreement."""
+    return ControllerSettings(
+        role="controller",
+        name=name_controller(settings.address),
+        data_centre=settings.data_centre,
+        control_address=format_socket(settings.address),
+        data_folder=Path(settings.data_folder),
+        controllers=make_peers(settings.controllers),
+        may_begin=settings.may_begin,
+        voters=settings.voters,
+        replace_silent_ms=settings.replace_silent_ms,
+        sealed_folder=False,
+    )
+
+
+def name_controller(address: SocketName) -> str:
+    """Return the name that every process derives for a controller."""
+    return f"controller-{address[0].replace('.', '-')}"
+
+
+def make_peers(controllers: tuple[SocketName, ...]) -> tuple[ControllerPeer, ...]:
+    """Return controllers as the agreement knows them."""
+    return tuple(
+        ControllerPeer(name=name_controller(address), address=format_socket(address))
+        for address in controllers
+    )
+
+
+def format_socket(address: SocketName) -> str:
+    """Return "ip:port"."""
+    return f"{address[0]}:{address[1]}"
+
+
+class StoredTable:
+    """The newest route table agreed on, in the form in which members fetch it."""
+
+    version: int
+    content: bytes
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.content = zlib.compress(b"")
+
+    def take(self, table: state_pb2.RouteTable) -> None:
+        """Take a newer table."""
+        if table.version <= self.version:
+            return
+        told = state_pb2.RouteTable()
+        told.CopyFrom(table)
+        told.ClearField("source")
+        self.content = zlib.compress(told.SerializeToString())
+        self.version = table.version
+
+
+class FlowControllerRole:
+    """One controller process."""
+
+    settings: FlowControllerSettings
+    counters: Counters
+    channels: Channels
+    replica: Replica
+    hub: RosterHub
+    table: StoredTable
+    server: grpc.aio.Server | None
+    socket: DatagramSocket | None
+    table_server: asyncio.Server | None
+    tasks: list["asyncio.Task[None]"]
+
+    def __init__(self, settings: FlowControllerSettings) -> None:
+        self.settings = settings
+        self.counters = Counters()
+        self.channels = Channels(None, self.counters)
+        self.replica = Replica(
+            make_settings(settings), self.channels, self.counters, random.Random()
+        )
+        self.table = StoredTable()
+        self.hub = RosterHub(
+            format_socket(settings.address),
+            settings.data_centre,
+            lambda: self.table.version,
+            self.list_controllers,
+            self.counters,
+            time.monotonic(),
+        )
+        self.replica.subscribe(self.take_state)
+        self.server = None
+        self.socket = None
+        self.table_server = None
+        self.tasks = []
+
+    @property
+    def generation(self) -> int:
+        """Version of the newest route table known to be agreed on."""
+        return self.table.version
+
+    def list_controllers(self) -> list[str]:
+        """Return where members find the controllers."""
+        known = self.replica.core.configuration.values()
+        return sorted(item.control_address for item in known)
+
+    def take_state(self, _before: ClusterState, _after: ClusterState) -> None:
+        """Tell members of a newer route table."""
+        former = self.table.version
+        self.table.take(self.replica.state.route_table)
+        if self.table.version > former and self.socket is not None:
+            log.info("route table agreed", version=self.table.version, former=former)
+            self.hub.push(time.monotonic())
+
+    async def start(self) -> Result[None, Failure]:
+        """Open the data folder and the servers; a failure leaves nothing open."""
+        opened = await self.replica.start()
+        if isinstance(opened, Err):
+            return opened
+        self.table.take(self.replica.state.route_table)
+        host, port = self.settings.address
+        try:
+            self.server = self.channels.make_server(format_socket((host, port)))
+            agreement_pb2_grpc.add_AgreementServicer_to_server(
+                self.replica.servicer, self.server
+            )
+            await self.server.start()
+            self.socket = DatagramSocket(
+                (host, port), self.take_datagram, self.counters
+            )
+            self.hub.send = self.socket.send
+            self.table_server = await asyncio.start_server(
+                self.serve_table, host, port + TABLE_PORT_OFFSET
+            )
+        except (OSError, RuntimeError) as error:
+            await self.stop()
+            return Err(Failure(STEP, format_socket((host, port)), str(error)))
+        self.run_task(self.sweep(), "sweep")
+        return Ok(None)
+
+    def run_task(self, work: Coroutine[Any, Any, None], name: str) -> None:
+        """Start a task that runs until the role stops."""
+        task = asyncio.create_task(work, name=name)
+        task.add_done_callback(report_task)
+        self.tasks.append(task)
+
+    def take_seeds(self, controllers: tuple[SocketName, ...]) -> None:
+        """Take other controllers to ask for a vote, from changed settings."""
+        log.info("controllers of the settings changed", controllers=str(controllers))
+        core = self.replica.core
+        core.settings = core.settings.model_copy(
+            update={"controllers": make_peers(controllers)}
+        )
+
+    def take_datagram(self, data: bytes, sender: SocketName) -> None:
+        """Handle a member's announcement."""
+        if read_kind(data) is not Kind.ANNOUNCEMENT:
+            self.counters.add("datagrams_dropped", "unexpected")
+            return
+        try:
+            announcement = roster_pb2.Announcement.FromString(data[1:])
+        except DecodeError:
+            self.counters.add("datagrams_dropped", "malformed")
+            return
+        self.hub.take_announcement(announcement, sender, time.monotonic())
+
+    async def serve_table(
+        self, _reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Send the newest table to a member."""
+        content = self.table.content
+        try:
+            writer.write(len(content).to_bytes(LENGTH_BYTES, "big") + content)
+            await writer.drain()
+        except OSError as error:
+            self.counters.add("table_transfers_failed")
+            log.debug("route table not sent", error=repr(error))
+        finally:
+            writer.close()
+
+    async def sweep(self) -> None:
+        """Watch for members that fall silent."""
+        while True:
+            self.hub.sweep(time.monotonic())
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+
+    async def put_table(self, table: state_pb2.RouteTable) -> Result[None, Failure]:
+        """Return once a table, or a newer one, is agreed on.
+
+        The failure tells that the outcome is not known; putting the same table
+        again is harmless.
+        """
+        if table.version <= self.replica.state.route_table.version:
+            return Ok(None)
+        digest = xxhash.xxh3_64_hexdigest(table.SerializeToString())
+        change = state_pb2.Change(
+            change_id=f"route-table-{table.version}-{digest}", put_route_table=table
+        )
+        started = time.monotonic()
+        proposed = await self.replica.propose(change)
+        took_ms = round((time.monotonic() - started) * 1000)
+        if isinstance(proposed, Err):
+            failure = proposed.err_value.failure
+            log.warning(
+                "route table not confirmed",
+                version=table.version,
+                took_ms=took_ms,
+                failure=failure,
+            )
+            return Err(failure)
+        log.info("route table acknowledged", version=table.version, took_ms=took_ms)
+        return Ok(None)
+
+    async def read_table(self) -> Result[state_pb2.RouteTable, Failure]:
+        """Return the newest route table, confirmed by a majority."""
+        confirmed = await self.replica.confirm_read()
+        if isinstance(confirmed, Err):
+            return confirmed
+        return Ok(self.replica.state.route_table)
+
+    async def drain(self) -> None:
+        """Hand over leadership."""
+        await self.replica.step_down()
+
+    async def stop(self) -> None:
+        """Close everything at once."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.tasks.clear()
+        await self.replica.stop()
+        if self.table_server is not None:
+            self.table_server.close()
+        if self.socket is not None:
+            self.socket.close()
+            self.socket = None
+        if self.server is not None:
+            await self.server.stop(SERVER_GRACE_S)
+            self.server = None
+        await self.channels.close()
+
+    def dump(self) -> dict[str, object]:
+        """Return the state of the process as JSON values."""
+        return {
+            "name": self.replica.core.name,
+            "route_table": self.table.version,
+            "agreement": self.replica.dump(),
+            "roster": self.hub.dump(),
+        }
--- /dev/null
+++ b/src/lentilfork/forwarding/decisions.py
@@ -0,0 +1,69 @@
+"""Log lines of decisions about flows, bounded under load.
+
+A line names the flow, the outcome and what decided it. Above the limit, routine
+outcomes are left out first and counted by outcome; lines that explain a failure
+keep a share of their own.
+"""
+
+from collections import Counter
+from typing import Final
+
+from lentilfork.forwarding.envelopes import KEY_BYTES
+from lentilfork.forwarding.packets import KEY
+from lentilfork.logs import Logger
+
+__all__ = ["DecisionLog", "format_flow"]
+
+LINES_PER_S: Final = 40
+FAILURE_LINES_PER_S: Final = 60
+# Outcomes that a request may fail by.
+FAILURES: Final = frozenset({"reset", "refused", "lost", "dropped", "offered again"})
+OCTETS: Final = 4
+
+log = Logger("flows")
+
+
+def format_flow(key: bytes) -> str:
+    """Return a flow key as "caller:port>address:port", the id in log lines."""
+    if len(key) != KEY_BYTES:
+        return key.hex()
+    source, source_port, destination, destination_port = KEY.unpack(key)
+    caller = ".".join(map(str, source.to_bytes(OCTETS, "big")))
+    target = ".".join(map(str, destination.to_bytes(OCTETS, "big")))
+    return f"{caller}:{source_port}>{target}:{destination_port}"
+
+
+class DecisionLog:
+    """Writes decisions, so many a second."""
+
+    # Lines that may still be written in this second, routine and failures.
+    routine_left: int
+    failures_left: int
+    omitted: Counter[str]
+
+    def __init__(self) -> None:
+        self.omitted = Counter()
+        self.routine_left = LINES_PER_S
+        self.failures_left = FAILURE_LINES_PER_S
+
+    def start_second(self) -> None:
+        """Allow a second's worth of lines; tells what was left out before."""
+        if self.omitted:
+            log.info("lines left out", **dict(self.omitted))
+            self.omitted.clear()
+        self.routine_left = LINES_PER_S
+        self.failures_left = FAILURE_LINES_PER_S
+
+    def write(self, outcome: str, key: bytes, reason: str, **inputs: object) -> None:
+        """Write one decision about a flow unless the limit is reached."""
+        if outcome in FAILURES:
+            if self.failures_left <= 0:
+                self.omitted[outcome] += 1
+                return
+            self.failures_left -= 1
+        else:
+            if self.routine_left <= 0:
+                self.omitted[outcome] += 1
+                return
+            self.routine_left -= 1
+        log.info(outcome, flow=format_flow(key), reason=reason, **inputs)
--- /dev/null
+++ b/src/lentilfork/forwarding/flows.py
@@ -0,0 +1,172 @@
+"""The flows of one backend server as the agent beside it sees them.
+
+All packets of the backend server pass through its agent, so the agent knows which
+flows are open there and how many requests wait for an answer, without asking the
+backend server. A restarted agent knows nothing until packets pass.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import Final
+
+from lentilfork.forwarding.packets import SEQUENCE_MODULUS
+
+__all__ = ["Flow", "FlowBook"]
+
+# Newer samples of the service time count for an eighth, as in TCP's round trip.
+SMOOTHING: Final = 0.125
+DEFAULT_SERVICE_TIME_S: Final = 0.02
+MINIMUM_SERVICE_TIME_S: Final = 0.001
+# A flow that was offered and never opened stops counting: three copies of a SYN
+# are sent within 0.6 s and the caller gives up after 1.4 s.
+OPENING_TIMEOUT_S: Final = 1.5
+# A request that gets no answer for this long stops counting as outstanding.
+ANSWER_TIMEOUT_S: Final = 10.0
+# Late packets of a closed flow still find their backend server.
+CLOSED_LIFETIME_S: Final = 5.0
+# How far acknowledgements may run ahead of the first sequence number: more than
+# any answer, far less than a random other flow's number is likely to hit.
+MAXIMUM_ANSWER_BYTES: Final = 1 << 26
+
+
+@dataclass(slots=True)
+class Flow:
+    """One flow of the backend server."""
+
+    key: bytes
+    # Data centre of the balancer it came in through; 0: not known.
+    ingress: int
+    # Last acknowledgement of the caller, which a reset must be near.
+    acknowledged: int
+    offered_at: float
+    used_at: float
+    # First sequence number of the backend server; None: not seen.
+    sequence: int | None = None
+    # It waits for an answer, to its SYN or to a request.
+    outstanding: bool = False
+    # A request was handed over at this time and has no answer yet.
+    requested_at: float | None = None
+    # Requests at the backend server when this one was handed over, itself included.
+    running: int = 0
+    closed: bool = False
+    # Agent that offered it here; None for this one.
+    offered_by: tuple[str, int] | None = None
+    # Owner that was told where the flow is.
+    owner: str = ""
+
+    def matches(self, acknowledgement: int) -> bool:
+        """Tell whether a caller's acknowledgement belongs to this flow's opening."""
+        if self.sequence is None:
+            return True
+        ahead = (acknowledgement - self.sequence) % SEQUENCE_MODULUS
+        return ahead <= MAXIMUM_ANSWER_BYTES
+
+
+class FlowBook:
+    """Flows by key, and the load that they are."""
+
+    flows: OrderedDict[bytes, Flow]
+    slots: int
+    # Flows that wait for the answer to their SYN or to a request.
+    outstanding: int
+    # Requests handed over and not answered.
+    running: int
+    # Smoothed time that one request takes in its slot.
+    service_time_s: float
+
+    def __init__(self, slots: int) -> None:
+        self.flows = OrderedDict()
+        self.slots = slots
+        self.outstanding = 0
+        self.running = 0
+        self.service_time_s = DEFAULT_SERVICE_TIME_S
+
+    def find(self, key: bytes) -> Flow | None:
+        """Return a flow, None if it is not known."""
+        return self.flows.get(key)
+
+    def offer(self, key: bytes, ingress: int, now: float) -> Flow:
+        """Note that a SYN was handed over; copies count once."""
+        flow = self.flows.get(key)
+        if flow is None or flow.closed:
+            flow = Flow(key, ingress, 0, now, now)
+            self.flows[key] = flow
+            flow.outstanding = True
+            self.outstanding += 1
+        self.touch(flow, now)
+        return flow
+
+    def adopt(self, key: bytes, now: float) -> Flow:
+        """Note a flow that was opened before this agent started."""
+        flow = Flow(key, 0, 0, now, now)
+        self.flows[key] = flow
+        return flow
+
+    def touch(self, flow: Flow, now: float) -> None:
+        """Note that a packet of a flow passed."""
+        flow.used_at = now
+        self.flows.move_to_end(flow.key)
+
+    def take_request(self, flow: Flow, now: float) -> None:
+        """Note that payload of the caller was handed over."""
+        if flow.requested_at is not None or flow.closed:
+            return
+        flow.requested_at = now
+        self.running += 1
+        flow.running = self.running
+        if not flow.outstanding:
+            flow.outstanding = True
+            self.outstanding += 1
+
+    def take_answer(self, flow: Flow, now: float) -> float | None:
+        """Note payload of the backend server; returns the time it took, once."""
+        taken = None
+        if flow.requested_at is not None:
+            taken = now - flow.requested_at
+            queued = max(flow.running / self.slots, 1.0)
+            sample = max(taken / queued, MINIMUM_SERVICE_TIME_S)
+            self.service_time_s += SMOOTHING * (sample - self.service_time_s)
+        self.settle(flow)
+        return taken
+
+    def settle(self, flow: Flow) -> None:
+        """Stop counting a flow as waiting."""
+        if flow.requested_at is not None:
+            flow.requested_at = None
+            self.running -= 1
+        if flow.outstanding:
+            flow.outstanding = False
+            self.outstanding -= 1
+
+    def close(self, flow: Flow) -> None:
+        """Note that a flow was closed or reset by the backend server."""
+        self.settle(flow)
+        flow.closed = True
+
+    def forget(self, key: bytes) -> None:
+        """Drop a flow that the backend server does not hold."""
+        flow = self.flows.pop(key, None)
+        if flow is not None:
+            self.settle(flow)
+
+    def list_open(self) -> list[Flow]:
+        """Return the flows that are not closed."""
+        return [flow for flow in self.flows.values() if not flow.closed]
+
+    def forget_old(self, now: float, idle_timeout_s: float) -> None:
+        """Drop flows that ended, never opened or idled for too long."""
+        for flow in list(self.flows.values()):
+            idle_s = now - flow.used_at
+            if idle_s <= OPENING_TIMEOUT_S:
+                # The rest was used later still.
+                return
+            if flow.closed:
+                expired = idle_s > CLOSED_LIFETIME_S
+            elif flow.sequence is None and flow.outstanding:
+                expired = idle_s > OPENING_TIMEOUT_S
+            else:
+                expired = idle_s > idle_timeout_s
+            if expired:
+                self.forget(flow.key)
+            elif flow.outstanding and idle_s > ANSWER_TIMEOUT_S:
+                self.settle(flow)
--- /dev/null
+++ b/src/lentilfork/forwarding/hub.py
@@ -0,0 +1,262 @@
+"""The controller's side of the roster: who announced itself, and who hears of it.
+
+Agents announce themselves to every controller, so each controller has a roster of
+its own and none depends on another. A member subscribes to one of them and gets
+what changed since the revision it holds. The roster is not written to disk: after
+a restart the announcements of a second fill it again.
+"""
+
+import secrets
+from collections.abc import Callable
+from collections.abc import Iterator
+from dataclasses import dataclass
+from dataclasses import replace
+from typing import Final
+
+from lentilfork.counters import Counters
+from lentilfork.forwarding.envelopes import Kind
+from lentilfork.forwarding.roster import AgentRecord
+from lentilfork.forwarding.roster import decode_agent
+from lentilfork.forwarding.roster import encode_agent
+from lentilfork.logs import Logger
+from lentilfork.schema import roster_pb2
+
+__all__ = ["RosterHub"]
+
+SocketName = tuple[str, int]
+# Four announcements in a row may get lost before an agent counts as lost.
+LOST_S: Final = 0.85
+# An agent that comes back within this time is the same agent; see REMOVE_S.
+REMOVE_S: Final = 20.0
+# A record of a removed agent is kept so that members that were cut off hear of it.
+TOMBSTONE_S: Final = 120.0
+MEMBER_SILENT_S: Final = 3.0
+# Every agent announces itself several times within this time.
+WARM_UP_S: Final = 1.0
+# Keeps an update within one unfragmented datagram.
+AGENTS_PER_UPDATE: Final = 9
+
+log = Logger("roster")
+
+
+@dataclass(slots=True)
+class Entry:
+    """An agent as this controller knows it."""
+
+    record: AgentRecord
+    revision: int
+    heard_at: float
+    removed: bool = False
+
+
+@dataclass(slots=True)
+class Subscriber:
+    """A member that wants changes as they come."""
+
+    address: SocketName
+    epoch: int
+    revision: int
+    heard_at: float
+
+
+class RosterHub:
+    """The roster of one controller."""
+
+    # "ip:port" that members announce to.
+    address: str
+    data_centre: str
+    # Drawn at the start of this process.
+    epoch: int
+    revision: int
+    started_at: float
+    entries: dict[str, Entry]
+    subscribers: dict[str, Subscriber]
+    # Return the version of the newest route table and the other controllers.
+    get_table_version: Callable[[], int]
+    list_controllers: Callable[[], list[str]]
+    send: Callable[[bytes, SocketName], None]
+    counters: Counters
+
+    def __init__(
+        self,
+        address: str,
+        data_centre: str,
+        get_table_version: Callable[[], int],
+        list_controllers: Callable[[], list[str]],
+        counters: Counters,
+        now: float,
+    ) -> None:
+        self.address = address
+        self.data_centre = data_centre
+        self.epoch = 1 + secrets.randbits(62)
+        self.revision = 0
+        self.started_at = now
+        self.entries = {}
+        self.subscribers = {}
+        self.get_table_version = get_table_version
+        self.list_controllers = list_controllers
+        self.counters = counters
+
+    def take_announcement(
+        self, announcement: roster_pb2.Announcement, sender: SocketName, now: float
+    ) -> None:
+        """Note who announced itself and answer with what it lacks."""
+        if announcement.HasField("agent"):
+            self.take_agent(announcement.agent, now)
+        known = announcement.epoch == self.epoch
+        subscriber = Subscriber(
+            sender, self.epoch, announcement.revision if known else 0, now
+        )
+        if announcement.subscribe:
+            if announcement.name not in self.subscribers:
+                log.info("member subscribed", member=announcement.name)
+            self.subscribers[announcement.name] = subscriber
+            self.send_changes(subscriber, now)
+        else:
+            self.subscribers.pop(announcement.name, None)
+            self.send_update(subscriber.address, self.make_update(now))
+
+    def take_agent(self, message: roster_pb2.FlowAgent, now: float) -> None:
+        """Take what an agent says of itself, unless it is older than what is held."""
+        try:
+            record = decode_agent(message)
+        except ValueError:
+            self.counters.add("announcements_dropped", "malformed")
+            return
+        entry = self.entries.get(record.name)
+        if entry is None:
+            self.put(record, now)
+            return
+        if record.age < entry.record.age:
+            self.counters.add("announcements_dropped", "older")
+            return
+        entry.heard_at = now
+        if record.age > entry.record.age or entry.record.lost or entry.removed:
+            self.put(record, now)
+
+    def put(self, record: AgentRecord, now: float) -> None:
+        """Make a record the next revision and tell those who subscribed."""
+        known = self.entries.get(record.name)
+        self.revision += 1
+        self.entries[record.name] = Entry(
+            record, self.revision, known.heard_at if record.lost and known else now
+        )
+        log.info(
+            "agent changed",
+            agent=record.name,
+            accepting=record.accepting,
+            leaving=record.leaving,
+            lost=record.lost,
+            incarnation=record.incarnation,
+            sequence=record.sequence,
+            silent_ms=round((now - self.entries[record.name].heard_at) * 1000),
+        )
+        self.push(now)
+
+    def push(self, now: float) -> None:
+        """Send subscribers what they lack."""
+        for subscriber in self.subscribers.values():
+            self.send_changes(subscriber, now)
+
+    def sweep(self, now: float) -> None:
+        """Mark agents that fell silent, drop members and records that are gone."""
+        for entry in list(self.entries.values()):
+            silent_s = now - entry.heard_at
+            name = entry.record.name
+            if silent_s > LOST_S and not entry.record.lost:
+                self.put(replace(entry.record, lost=True), now)
+            elif silent_s > TOMBSTONE_S:
+                del self.entries[name]
+            elif silent_s > REMOVE_S and not entry.removed:
+                self.revision += 1
+                entry.revision = self.revision
+                entry.removed = True
+                self.push(now)
+        silent = [
+            name
+            for name, subscriber in self.subscribers.items()
+            if now - subscriber.heard_at > MEMBER_SILENT_S
+        ]
+        for name in silent:
+            del self.subscribers[name]
+            log.info("member silent", member=name)
+
+    def make_update(self, now: float) -> roster_pb2.RosterUpdate:
+        """Return an update without agents."""
+        return roster_pb2.RosterUpdate(
+            controller=self.address,
+            epoch=self.epoch,
+            table_version=self.get_table_version(),
+            controllers=self.list_controllers(),
+            data_centre=self.data_centre,
+            warm=now - self.started_at >= WARM_UP_S,
+        )
+
+    def list_changes(self, revision: int) -> Iterator[Entry]:
+        """Return the entries after a revision, oldest change first."""
+        changed = (
+            entry
+            for entry in self.entries.values()
+            if entry.revision > revision and (revision > 0 or not entry.removed)
+        )
+        return iter(sorted(changed, key=lambda entry: entry.revision))
+
+    def send_changes(self, subscriber: Subscriber, now: float) -> None:
+        """Send a subscriber all changes after the revision it holds."""
+        base = subscriber.revision
+        pages = list(batched_entries(self.list_changes(base)))
+        if not pages:
+            update = self.make_update(now)
+            update.base = base
+            update.revision = self.revision
+            update.complete = True
+            self.send_update(subscriber.address, update)
+            return
+        for number, page in enumerate(pages, start=1):
+            update = self.make_update(now)
+            update.base = base
+            last = number == len(pages)
+            update.revision = self.revision if last else page[-1].revision
+            update.complete = last
+            for entry in page:
+                message = encode_agent(entry.record)
+                message.removed = entry.removed
+                update.agents.append(message)
+            self.send_update(subscriber.address, update)
+            base = update.revision
+        # Assumed to arrive; the next announcement tells if it did not.
+        subscriber.revision = self.revision
+
+    def send_update(self, address: SocketName, update: roster_pb2.RosterUpdate) -> None:
+        """Send an update to a member."""
+        self.counters.add("updates_sent")
+        self.send(bytes((Kind.UPDATE,)) + update.SerializeToString(), address)
+
+    def dump(self) -> dict[str, object]:
+        """Return the roster as JSON values."""
+        return {
+            "epoch": f"{self.epoch:016x}",
+            "revision": self.revision,
+            "subscribers": sorted(self.subscribers),
+            "agents": {
+                name: {
+                    "revision": entry.revision,
+                    "accepting": entry.record.accepting,
+                    "lost": entry.record.lost,
+                    "removed": entry.removed,
+                }
+                for name, entry in self.entries.items()
+            },
+        }
+
+
+def batched_entries(entries: Iterator[Entry]) -> Iterator[list[Entry]]:
+    """Return the entries in pages that each fit one update."""
+    page: list[Entry] = []
+    for entry in entries:
+        page.append(entry)
+        if len(page) == AGENTS_PER_UPDATE:
+            yield page
+            page = []
+    if page:
+        yield page
--- /dev/null
+++ b/src/lentilfork/forwarding/membership.py
@@ -0,0 +1,337 @@
+"""A member's side: it announces itself, and holds the roster and the route table.
+
+A member announces itself to every controller it knows, but takes the roster from
+one of them, if possible in its own data centre; another takes its place once it
+falls silent. The route table is the newest version that any controller has: an
+older one is never taken, whoever offers it.
+"""
+
+import asyncio
+import zlib
+from collections.abc import Callable
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Final
+
+from google.protobuf.message import DecodeError
+
+from lentilfork.counters import Counters
+from lentilfork.forwarding.envelopes import Kind
+from lentilfork.forwarding.roster import AgentRecord
+from lentilfork.forwarding.roster import Roster
+from lentilfork.forwarding.roster import decode_agent
+from lentilfork.forwarding.roster import encode_agent
+from lentilfork.forwarding.routes import RouteIndex
+from lentilfork.forwarding.routes import index_routes
+from lentilfork.logs import Logger
+from lentilfork.schema import roster_pb2
+from lentilfork.schema import state_pb2
+from lentilfork.settings import split_address
+
+__all__ = [
+    "ANNOUNCE_INTERVAL_S",
+    "LENGTH_BYTES",
+    "TABLE_PORT_OFFSET",
+    "Membership",
+    "TableFetcher",
+]
+
+SocketName = tuple[str, int]
+# An agent counts as lost after 0.85 s: three announcements in a row may be lost.
+ANNOUNCE_INTERVAL_S: Final = 0.2
+# Controllers that neither judge a member's life nor send it changes are asked for
+# their table version only.
+STATUS_INTERVAL_S: Final = 0.6
+CONTROLLER_SILENT_S: Final = 0.7
+# A controller that is no longer among those that others name is forgotten.
+CONTROLLER_GONE_S: Final = 10.0
+# A table is known to be the newest while most controllers said so within this.
+FRESH_TABLE_S: Final = 1.5
+FETCH_TIMEOUT_S: Final = 1.0
+LENGTH_BYTES: Final = 4
+# The table server's port, counted from the port that members announce to.
+TABLE_PORT_OFFSET: Final = 3
+MAXIMUM_TABLE_BYTES: Final = 16 * 1024 * 1024
+
+log = Logger("membership")
+
+
+@dataclass(slots=True)
+class ControllerView:
+    """A controller as this member sees it."""
+
+    address: SocketName
+    heard_at: float = float("-inf")
+    asked_at: float = float("-inf")
+    # It has run long enough to know all agents.
+    warm: bool = False
+    data_centre: str = ""
+    table_version: int = 0
+
+
+class Membership:
+    """What one member knows, and how it stays known."""
+
+    name: str
+    # "ip:port" of this member's socket.
+    address: str
+    data_centre: str
+    # From the settings; used while no controller answers.
+    seeds: list[SocketName]
+    controllers: dict[SocketName, ControllerView]
+    # The controller whose roster is taken; None while none is known.
+    primary: SocketName | None
+    # Of the primary's roster: its epoch, the revision held, agents named in it.
+    epoch: int
+    revision: int
+    named: set[str]
+    records: dict[str, AgentRecord]
+    roster: Roster
+    routes: RouteIndex
+    # What this member says of itself; None for a balancer.
+    agent: AgentRecord | None
+    send: Callable[[bytes, SocketName], None]
+    counters: Counters
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        data_centre: str,
+        seeds: Iterable[SocketName],
+        roster: Roster,
+        counters: Counters,
+    ) -> None:
+        self.name = name
+        self.address = address
+        self.data_centre = data_centre
+        self.seeds = list(seeds)
+        self.controllers = {}
+        self.primary = None
+        self.epoch = 0
+        self.revision = 0
+        self.named = set()
+        self.records = {}
+        self.roster = roster
+        self.routes = RouteIndex()
+        self.agent = None
+        self.counters = counters
+        self.use_seeds()
+
+    @property
+    def is_synced(self) -> bool:
+        """Whether a whole roster and a route table were taken."""
+        return self.epoch != 0 and self.routes.version > 0
+
+    def use_seeds(self) -> None:
+        """Know the controllers of the settings, besides those heard of."""
+        for seed in self.seeds:
+            self.controllers.setdefault(seed, ControllerView(seed))
+
+    def has_fresh_table(self, now: float) -> bool:
+        """Tell whether most controllers lately had no newer table than this member."""
+        fresh = [
+            view
+            for view in self.controllers.values()
+            if now - view.heard_at <= FRESH_TABLE_S
+            and view.table_version <= self.routes.version
+        ]
+        return 2 * len(fresh) > len(self.controllers)
+
+    def find_newer_table(self, now: float) -> tuple[SocketName, int] | None:
+        """Return a controller with the newest table if that is newer than the own."""
+        heard = [
+            view
+            for view in self.controllers.values()
+            if now - view.heard_at <= FRESH_TABLE_S
+        ]
+        best = max(heard, key=lambda view: view.table_version, default=None)
+        if best is None or best.table_version <= self.routes.version:
+            return None
+        same = [view for view in heard if view.table_version == best.table_version]
+        near = [view for view in same if view.data_centre == self.data_centre]
+        return (near or same)[0].address, best.table_version
+
+    def announce(self, now: float, *, hurry: bool = False) -> None:
+        """Tell controllers that this member is there."""
+        self.choose_primary(now)
+        for view in list(self.controllers.values()):
+            primary = view.address == self.primary
+            frequent = hurry or primary or self.agent is not None
+            if not frequent and now - view.asked_at < STATUS_INTERVAL_S:
+                continue
+            view.asked_at = now
+            self.send_announcement(view.address, subscribe=primary)
+
+    def send_announcement(self, address: SocketName, *, subscribe: bool) -> None:
+        """Send one announcement."""
+        announcement = roster_pb2.Announcement(
+            name=self.name,
+            address=self.address,
+            table_version=self.routes.version,
+            subscribe=subscribe,
+        )
+        if subscribe:
+            announcement.epoch = self.epoch
+            announcement.revision = self.revision
+        if self.agent is not None:
+            announcement.agent.CopyFrom(encode_agent(self.agent))
+        self.send(
+            bytes((Kind.ANNOUNCEMENT,)) + announcement.SerializeToString(), address
+        )
+
+    def choose_primary(self, now: float) -> None:
+        """Take another controller's roster if the one in use fell silent."""
+        current = self.controllers.get(self.primary) if self.primary else None
+        if current is not None and now - current.heard_at <= CONTROLLER_SILENT_S:
+            return
+        heard = [
+            view
+            for view in self.controllers.values()
+            if now - view.heard_at <= CONTROLLER_SILENT_S and view.warm
+        ]
+        if not heard:
+            self.use_seeds()
+            return
+        best = min(
+            heard,
+            key=lambda view: (view.data_centre != self.data_centre, view.address),
+        )
+        log.info(
+            "roster taken from another controller",
+            controller=best.address[0],
+            former=self.primary[0] if self.primary else "",
+            silent_ms=round((now - current.heard_at) * 1000) if current else "",
+        )
+        self.primary = best.address
+
+    def take_update(
+        self, update: roster_pb2.RosterUpdate, sender: SocketName, now: float
+    ) -> None:
+        """Take what a controller tells."""
+        try:
+            address = split_address(update.controller)
+        except ValueError:
+            self.counters.add("updates_dropped", "malformed")
+            return
+        view = self.controllers.setdefault(address, ControllerView(address))
+        view.heard_at = now
+        view.warm = update.warm
+        view.data_centre = update.data_centre
+        view.table_version = max(view.table_version, update.table_version)
+        self.learn_controllers(update, now)
+        if address == self.primary:
+            self.take_agents(update)
+
+    def learn_controllers(self, update: roster_pb2.RosterUpdate, now: float) -> None:
+        """Know the controllers that one names; forget those long silent."""
+        named = set()
+        for text in update.controllers:
+            try:
+                named.add(split_address(text))
+            except ValueError:
+                self.counters.add("updates_dropped", "malformed")
+        for address in named:
+            self.controllers.setdefault(address, ControllerView(address))
+        if not named:
+            return
+        for view in list(self.controllers.values()):
+            silent_s = now - view.heard_at
+            if view.address not in named and silent_s > CONTROLLER_GONE_S:
+                del self.controllers[view.address]
+
+    def take_agents(self, update: roster_pb2.RosterUpdate) -> None:
+        """Take the part of a roster that follows the revision held."""
+        if update.epoch != self.epoch and update.base == 0 and update.revision > 0:
+            self.epoch, self.revision, self.named = update.epoch, 0, set()
+        if update.epoch != self.epoch or update.base > self.revision:
+            return
+        changed = False
+        for message in update.agents:
+            changed = self.take_agent(message) or changed
+        self.revision = max(self.revision, update.revision)
+        if update.complete:
+            gone = self.records.keys() - self.named
+            for name in gone:
+                del self.records[name]
+            changed = changed or bool(gone)
+        if changed:
+            self.roster.replace(self.records.values())
+
+    def take_agent(self, message: roster_pb2.FlowAgent) -> bool:
+        """Take one record; tells whether it changed anything."""
+        if message.removed:
+            self.named.discard(message.name)
+            return self.records.pop(message.name, None) is not None
+        self.named.add(message.name)
+        try:
+            record = decode_agent(message)
+        except ValueError:
+            self.counters.add("updates_dropped", "malformed")
+            return False
+        known = self.records.get(record.name)
+        if known == record or (known is not None and record.age < known.age):
+            return False
+        self.records[record.name] = record
+        return True
+
+    def take_table(self, table: state_pb2.RouteTable) -> bool:
+        """Put a route table in force if it is newer; tells whether it was."""
+        if table.version <= self.routes.version:
+            return False
+        log.info(
+            "route table in force",
+            version=table.version,
+            former=self.routes.version,
+            routes=len(table.routes),
+        )
+        self.routes = index_routes(table)
+        return True
+
+
+class TableFetcher:
+    """Fetches newer route tables from controllers, one fetch at a time."""
+
+    membership: Membership
+    # Called after a table was put in force.
+    on_table: Callable[[], None]
+    task: "asyncio.Task[None] | None"
+
+    def __init__(self, membership: Membership, on_table: Callable[[], None]) -> None:
+        self.membership = membership
+        self.on_table = on_table
+        self.task = None
+
+    def start_if_needed(self, now: float) -> None:
+        """Begin to fetch a newer table, if there is one and none is under way."""
+        if self.task is not None and not self.task.done():
+            return
+        newer = self.membership.find_newer_table(now)
+        if newer is not None:
+            self.task = asyncio.create_task(self.fetch(newer[0]), name="fetch table")
+
+    async def fetch(self, controller: SocketName) -> None:
+        """Fetch the table of a controller and put it in force."""
+        host, port = controller
+        try:
+            async with asyncio.timeout(FETCH_TIMEOUT_S):
+                data = await read_table(host, port + TABLE_PORT_OFFSET)
+            table = state_pb2.RouteTable.FromString(zlib.decompress(data))
+        except (OSError, EOFError, TimeoutError, DecodeError, zlib.error) as error:
+            self.membership.counters.add("table_fetches_failed")
+            log.warning("route table not fetched", controller=host, error=repr(error))
+            return
+        if self.membership.take_table(table):
+            self.on_table()
+
+
+async def read_table(host: str, port: int) -> bytes:
+    """Return the compressed table of a controller; raises OSError or EOFError."""
+    reader, writer = await asyncio.open_connection(host, port)
+    try:
+        length = int.from_bytes(await reader.readexactly(LENGTH_BYTES), "big")
+        if length > MAXIMUM_TABLE_BYTES:
+            raise OSError(f"table of {length} bytes")
+        return await reader.readexactly(length)
+    finally:
+        writer.close()
--- /dev/null
+++ b/src/lentilfork/forwarding/ownership.py
@@ -0,0 +1,224 @@
+"""The owner's side: where each of its flows is served, and offers of new ones.
+
+An owner places a SYN on the agent whose answer is expected first and remembers
+it. The agent's note tells that the flow opened there; without a note in time the
+SYN is offered to another agent as well. The caller picks one of the answers, so a
+second offer is harmless. What an owner does not know, such as flows of a former
+owner, it passes along the agents until one holds it.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import replace
+from typing import Final
+
+from lentilfork.counters import Counters
+from lentilfork.forwarding.decisions import DecisionLog
+from lentilfork.forwarding.envelopes import Envelope
+from lentilfork.forwarding.envelopes import Kind
+from lentilfork.forwarding.envelopes import encode_envelope
+from lentilfork.forwarding.loads import LoadBook
+from lentilfork.forwarding.packets import FlowPacket
+from lentilfork.forwarding.packets import PacketCodec
+from lentilfork.forwarding.packets import make_caller_key
+from lentilfork.forwarding.placement import Choice
+from lentilfork.forwarding.placement import choose_agent
+from lentilfork.forwarding.roster import AgentRecord
+from lentilfork.forwarding.roster import Roster
+from lentilfork.routing import Directory
+
+__all__ = ["FlowOwner", "Offer"]
+
+SocketName = tuple[str, int]
+# An agent that is there opens a flow within a few round trips between data
+# centres; the caller's first copy of the SYN follows after 200 ms.
+OFFER_TIMEOUT_S: Final = 0.08
+# A SYN is offered to so many agents before it is left to the caller's copies.
+MAXIMUM_OFFERS: Final = 3
+# Agents that pass a rejected SYN on before the caller is told.
+MAXIMUM_SYN_HOPS: Final = 4
+MS_PER_S: Final = 1_000
+
+
+@dataclass(slots=True)
+class Offer:
+    """A SYN that was offered and has not opened a flow yet."""
+
+    envelope: Envelope
+    packet: FlowPacket
+    sent_at: float
+    # Agents it was offered to, in order.
+    agents: list[str]
+
+
+class FlowOwner:
+    """Directory and placement of the flows that one agent owns."""
+
+    # Name of this agent.
+    name: str
+    codec: PacketCodec
+    roster: Roster
+    loads: LoadBook
+    directory: Directory
+    # Oldest first, by flow.
+    offers: OrderedDict[bytes, Offer]
+    counters: Counters
+    decisions: DecisionLog
+    send: Callable[[bytes, SocketName], None]
+    send_to_caller: Callable[[bytes, int], None]
+    # Hands an envelope to the delivery of this agent.
+    deliver: Callable[[Envelope, FlowPacket, float], None]
+
+    def __init__(
+        self,
+        name: str,
+        codec: PacketCodec,
+        roster: Roster,
+        loads: LoadBook,
+        counters: Counters,
+        decisions: DecisionLog,
+        idle_timeout_s: float,
+    ) -> None:
+        self.name = name
+        self.codec = codec
+        self.roster = roster
+        self.loads = loads
+        self.directory = Directory(idle_timeout_s)
+        self.offers = OrderedDict()
+        self.counters = counters
+        self.decisions = decisions
+
+    def route(self, envelope: Envelope, packet: FlowPacket, now: float) -> None:
+        """Send a packet to where its flow is served; place a new flow."""
+        key = make_caller_key(packet)
+        agent = self.find_agent(key, now)
+        if agent is not None:
+            self.pass_to(agent, envelope, packet, now)
+        elif packet.is_opening:
+            self.place(envelope, packet, now)
+        else:
+            self.counters.add("flows_searched")
+            self.deliver(envelope, packet, now)
+
+    def find_agent(self, key: bytes, now: float) -> AgentRecord | None:
+        """Return the agent that serves a flow, None if it is not known."""
+        name = self.directory.find(key, now)
+        return self.roster.agents.get(name) if name is not None else None
+
+    def pass_to(
+        self, agent: AgentRecord, envelope: Envelope, packet: FlowPacket, now: float
+    ) -> None:
+        """Hand an envelope to an agent, which may be this one."""
+        if agent.name == self.name:
+            self.deliver(envelope, packet, now)
+            return
+        forwarded = replace(envelope, kind=Kind.DELIVER, data=packet.data)
+        self.send(encode_envelope(forwarded), agent.address)
+
+    def choose(
+        self, envelope: Envelope, key: bytes, excluded: list[str], now: float
+    ) -> Choice:
+        """Return where a new flow is offered."""
+        ranked = self.roster.rank_owners(envelope.service, envelope.ingress, key)
+        return choose_agent(ranked, self.loads, envelope.ingress, excluded, now)
+
+    def place(self, envelope: Envelope, packet: FlowPacket, now: float) -> None:
+        """Offer a new flow to the agent whose answer is expected first."""
+        key = make_caller_key(packet)
+        choice = self.choose(envelope, key, [], now)
+        if choice.agent is None:
+            self.refuse(packet, "no agent takes new flows")
+            return
+        if choice.expected_s * MS_PER_S > envelope.deadline_ms:
+            self.refuse(
+                packet,
+                "answer expected after the deadline",
+                expected_ms=round(choice.expected_s * MS_PER_S),
+                deadline_ms=envelope.deadline_ms,
+            )
+            return
+        self.offers[key] = Offer(envelope, packet, now, [choice.agent.name])
+        self.offer(choice, envelope, packet, now)
+
+    def offer(
+        self, choice: Choice, envelope: Envelope, packet: FlowPacket, now: float
+    ) -> None:
+        """Offer a flow to the agent chosen."""
+        assert choice.agent is not None
+        key = make_caller_key(packet)
+        self.directory.record(key, choice.agent.name, now)
+        self.loads.record_placement(choice.agent.name)
+        self.counters.add("flows_placed")
+        self.decisions.write(
+            "placed",
+            key,
+            "answer expected first",
+            agent=choice.agent.name,
+            expected_ms=round(choice.expected_s * MS_PER_S, 1),
+        )
+        self.pass_to(choice.agent, envelope, packet, now)
+
+    def refuse(self, packet: FlowPacket, reason: str, **inputs: object) -> None:
+        """Tell a caller at once that its flow is not taken.
+
+        A copy of a SYN is left alone: its flow may have opened meanwhile.
+        """
+        key = make_caller_key(packet)
+        if packet.acknowledgement > 0:
+            self.counters.add("packets_dropped", "copy_not_placed")
+            return
+        self.counters.add("flows_refused", reason)
+        self.decisions.write("refused", key, reason, **inputs)
+        self.send_to_caller(self.codec.make_reset(packet), packet.source)
+
+    def place_elsewhere(
+        self, envelope: Envelope, packet: FlowPacket, now: float, reason: str
+    ) -> None:
+        """Offer a SYN that this agent's backend server does not take to another."""
+        key = make_caller_key(packet)
+        if envelope.hops >= MAXIMUM_SYN_HOPS:
+            self.refuse(packet, "rejected by every agent asked")
+            return
+        choice = self.choose(envelope, key, [self.name], now)
+        if choice.agent is None:
+            self.refuse(packet, "no other agent takes new flows")
+            return
+        self.counters.add("flows_placed_elsewhere", reason)
+        passed = replace(envelope, hops=envelope.hops + 1)
+        self.offer(choice, passed, packet, now)
+
+    def take_note(self, key: bytes, agent: str, now: float) -> None:
+        """Remember where a flow opened or was found."""
+        self.directory.record(key, agent, now)
+        offer = self.offers.pop(key, None)
+        if offer is not None:
+            self.loads.record_opening(agent)
+
+    def offer_again(self, now: float) -> None:
+        """Offer flows that did not open in time to other agents as well."""
+        while self.offers:
+            key, offer = next(iter(self.offers.items()))
+            if now - offer.sent_at < OFFER_TIMEOUT_S:
+                return
+            del self.offers[key]
+            silent = offer.agents[-1]
+            self.loads.record_silence(silent, now)
+            if len(offer.agents) >= MAXIMUM_OFFERS:
+                self.counters.add("offers_given_up")
+                continue
+            choice = self.choose(offer.envelope, key, offer.agents, now)
+            if choice.agent is None:
+                continue
+            self.counters.add("flows_offered_again")
+            self.decisions.write(
+                "offered again",
+                key,
+                "no answer to the offer",
+                silent=silent,
+                waited_ms=round((now - offer.sent_at) * MS_PER_S),
+            )
+            offer.agents.append(choice.agent.name)
+            offer.sent_at = now
+            self.offers[key] = offer
+            self.offer(choice, offer.envelope, offer.packet, now)
--- /dev/null
+++ b/src/lentilfork/forwarding/placement.py
@@ -0,0 +1,56 @@
+"""Which agent a new flow is offered to, and when it is refused.
+
+The choice is the agent where the answer is expected first: its service time, the
+work ahead of it in its slots and the way there. Equal agents are told apart by
+rendezvous order, so that owners with the same view spread their flows.
+"""
+
+from collections.abc import Collection
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from lentilfork.forwarding.loads import LoadBook
+from lentilfork.forwarding.packets import hash_name
+from lentilfork.forwarding.roster import AgentRecord
+
+__all__ = ["Choice", "choose_agent"]
+
+# What the way to another data centre costs in the estimate: it decides between
+# agents whose answers are expected at about the same time.
+DISTANCE_COST_S: Final = 0.003
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """Where a flow is offered."""
+
+    # None: no agent can take it.
+    agent: AgentRecord | None
+    # Time to the answer as expected; 0 without an agent.
+    expected_s: float
+
+
+def choose_agent(
+    ranked: Sequence[AgentRecord],
+    loads: LoadBook,
+    ingress: int,
+    excluded: Collection[str],
+    now: float,
+) -> Choice:
+    """Return where the answer to a new flow is expected first.
+
+    Agents that seem unusable are taken only while no other is left, since what
+    is known of them may be old.
+    """
+    candidates = [agent for agent in ranked if agent.name not in excluded]
+    available = [agent for agent in candidates if agent.is_available]
+    usable = [agent for agent in available if loads.is_usable(agent.name, now)]
+    chosen: AgentRecord | None = None
+    best_s = float("inf")
+    for agent in usable or available:
+        far = hash_name(agent.data_centre) != ingress
+        cost_s = loads.find(agent.name).estimate_s() + far * DISTANCE_COST_S
+        if cost_s < best_s:
+            chosen, best_s = agent, cost_s
+    return Choice(chosen, best_s if chosen else 0.0)
--- /dev/null
+++ b/src/lentilfork/forwarding/processes.py
@@ -0,0 +1,379 @@
+"""The balancer and the agent of forwarded flows as processes: sockets and timers."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from collections.abc import Coroutine
+from functools import lru_cache
+from typing import Any
+from typing import Final
+
+from google.protobuf.message import DecodeError
+from result import Err
+from result import Ok
+from result import Result
+
+from lentilfork.counters import Counters
+from lentilfork.errors import Failure
+from lentilfork.forwarding.agent import FlowAgent
+from lentilfork.forwarding.backend_server import BackendServer
+from lentilfork.forwarding.balancer import FlowBalancer
+from lentilfork.forwarding.decisions import DecisionLog
+from lentilfork.forwarding.delivery import LONGEST_FLOW_S
+from lentilfork.forwarding.envelopes import Kind
+from lentilfork.forwarding.envelopes import read_kind
+from lentilfork.forwarding.membership import ANNOUNCE_INTERVAL_S
+from lentilfork.forwarding.membership import Membership
+from lentilfork.forwarding.membership import TableFetcher
+from lentilfork.forwarding.packets import PacketCodec
+from lentilfork.forwarding.roster import AgentRecord
+from lentilfork.forwarding.roster import Roster
+from lentilfork.forwarding.settings import FlowAgentSettings
+from lentilfork.forwarding.settings import FlowBalancerSettings
+from lentilfork.forwarding.settings import MemberSettings
+from lentilfork.forwarding.sockets import DatagramSocket
+from lentilfork.logs import Logger
+from lentilfork.membership.clocks import draw_incarnation
+from lentilfork.schema import roster_pb2
+
+__all__ = ["FlowAgentRole", "FlowBalancerRole", "report_task"]
+
+SocketName = tuple[str, int]
+# Resolution of the timers of an agent: a fraction of the time after which an
+# offer is made again.
+AGENT_TICK_S: Final = 0.01
+DECISION_INTERVAL_S: Final = 1.0
+# Routers take a balancer out after two missed checks at two a second; packets go
+# on arriving until then.
+ROTATION_LEAVE_S: Final = 1.8
+POLL_INTERVAL_S: Final = 0.05
+# Left of the time to stop in when running flows are given up.
+STOP_MARGIN_S: Final = 0.8
+CACHED_ADDRESSES: Final = 65_536
+OCTETS: Final = 4
+MS_PER_S: Final = 1_000
+
+log = Logger("process")
+
+
+@lru_cache(CACHED_ADDRESSES)
+def format_address(address: int) -> str:
+    """Return the text of an IPv4 address given as a number."""
+    return ".".join(map(str, address.to_bytes(OCTETS, "big")))
+
+
+def report_task(task: "asyncio.Task[None]") -> None:
+    """Log the error by which a task ended."""
+    if not task.cancelled() and task.exception() is not None:
+        log.critical("task failed", task=task.get_name(), error=repr(task.exception()))
+
+
+class MemberProcess:
+    """Sockets, membership and timers that balancers and agents share."""
+
+    settings: MemberSettings
+    counters: Counters
+    roster: Roster
+    membership: Membership
+    fetcher: TableFetcher
+    # Datagrams of other processes.
+    socket: DatagramSocket
+    tasks: list["asyncio.Task[None]"]
+    # Takes no part any more: told to stop.
+    leaving: bool
+
+    def __init__(self, settings: MemberSettings) -> None:
+        self.settings = settings
+        self.counters = Counters()
+        self.roster = Roster()
+        host, port = settings.address
+        self.membership = Membership(
+            settings.name,
+            f"{host}:{port}",
+            settings.data_centre,
+            settings.controllers,
+            self.roster,
+            self.counters,
+        )
+        self.fetcher = TableFetcher(self.membership, self.take_table)
+        self.tasks = []
+        self.leaving = False
+
+    @property
+    def generation(self) -> int:
+        """Version of the route table in force here."""
+        return self.membership.routes.version
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether this process can do its work."""
+        return self.membership.is_synced and not self.leaving
+
+    def take_table(self) -> None:
+        """Act on a newer route table."""
+
+    def take_seeds(self, controllers: tuple[SocketName, ...]) -> None:
+        """Take other controllers to begin with, from changed settings."""
+        log.info("controllers of the settings changed", controllers=str(controllers))
+        self.membership.seeds = list(controllers)
+        self.membership.use_seeds()
+
+    def open_socket(self) -> None:
+        """Bind the socket for other processes; raises OSError."""
+        self.socket = DatagramSocket(
+            self.settings.address, self.take_datagram, self.counters
+        )
+        self.membership.send = self.socket.send
+
+    def take_datagram(self, data: bytes, sender: SocketName) -> None:
+        """Handle a datagram of another process."""
+        kind = read_kind(data)
+        if kind is None:
+            self.counters.add("datagrams_dropped", "unknown_kind")
+        elif kind is Kind.UPDATE:
+            self.take_update(data, sender)
+        else:
+            self.take_flow_datagram(kind, data, sender)
+
+    def take_flow_datagram(self, kind: Kind, data: bytes, sender: SocketName) -> None:
+        """Handle a datagram that is not for the membership."""
+        self.counters.add("datagrams_dropped", "unexpected")
+
+    def take_update(self, data: bytes, sender: SocketName) -> None:
+        """Handle a controller's update."""
+        try:
+            update = roster_pb2.RosterUpdate.FromString(data[1:])
+        except DecodeError:
+            self.counters.add("datagrams_dropped", "malformed")
+            return
+        now = time.monotonic()
+        self.membership.take_update(update, sender, now)
+        self.fetcher.start_if_needed(now)
+
+    def run_task(self, work: Coroutine[Any, Any, None], name: str) -> None:
+        """Start a task that runs until the process stops."""
+        task = asyncio.create_task(work, name=name)
+        task.add_done_callback(report_task)
+        self.tasks.append(task)
+
+    async def announce(self) -> None:
+        """Announce this process for as long as it runs."""
+        while True:
+            now = time.monotonic()
+            self.membership.announce(now)
+            self.fetcher.start_if_needed(now)
+            await asyncio.sleep(ANNOUNCE_INTERVAL_S)
+
+    async def stop(self) -> None:
+        """Close everything at once."""
+        if self.fetcher.task is not None:
+            self.tasks.append(self.fetcher.task)
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.tasks.clear()
+        self.socket.close()
+
+    def send_to_caller_from(
+        self, socket: DatagramSocket
+    ) -> Callable[[bytes, int], None]:
+        """Return the function that sends a packet to a caller's address."""
+        port = self.settings.caller_port
+
+        def send(data: bytes, address: int) -> None:
+            socket.send(data, (format_address(address), port))
+
+        return send
+
+
+class FlowBalancerRole(MemberProcess):
+    """One balancer process."""
+
+    settings: FlowBalancerSettings
+    balancer: FlowBalancer
+    decisions: DecisionLog
+    # Callers' packets.
+    packets: DatagramSocket
+
+    def __init__(self, settings: FlowBalancerSettings, codec: PacketCodec) -> None:
+        super().__init__(settings)
+        self.settings = settings
+        self.decisions = DecisionLog()
+        self.balancer = FlowBalancer(
+            codec, self.roster, settings.data_centre, self.counters, self.decisions
+        )
+
+    async def start(self) -> Result[None, Failure]:
+        """Bind the sockets and start the tasks; a failure leaves nothing open."""
+        try:
+            self.open_socket()
+        except OSError as error:
+            return Err(
+                Failure("start balancer", str(self.settings.address), str(error))
+            )
+        try:
+            self.packets = DatagramSocket(
+                self.settings.packet_address, self.take_packet, self.counters
+            )
+        except OSError as error:
+            self.socket.close()
+            peer = str(self.settings.packet_address)
+            return Err(Failure("start balancer", peer, str(error)))
+        self.balancer.send = self.socket.send
+        self.balancer.send_to_caller = self.send_to_caller_from(self.packets)
+        self.run_task(self.announce(), "announce")
+        self.run_task(self.keep_decisions(), "decisions")
+        return Ok(None)
+
+    def take_packet(self, data: bytes, _sender: SocketName) -> None:
+        """Forward a caller's packet."""
+        self.balancer.take_packet(data, time.monotonic())
+
+    def take_table(self) -> None:
+        """Route by a newer table."""
+        self.balancer.routes = self.membership.routes
+
+    async def keep_decisions(self) -> None:
+        """Allow log lines, and note whether the table is the newest."""
+        while True:
+            self.decisions.start_second()
+            await asyncio.sleep(DECISION_INTERVAL_S)
+
+    def take_update(self, data: bytes, sender: SocketName) -> None:
+        """Handle a controller's update, which may confirm the table."""
+        super().take_update(data, sender)
+        now = time.monotonic()
+        if self.membership.has_fresh_table(now):
+            self.balancer.confirmed_at = now
+
+    async def drain(self) -> None:
+        """Forward packets until the routers have taken this process out."""
+        self.leaving = True
+        await asyncio.sleep(ROTATION_LEAVE_S)
+
+    async def stop(self) -> None:
+        """Close everything at once."""
+        await super().stop()
+        self.packets.close()
+
+    def dump(self) -> dict[str, object]:
+        """Return the state of the process as JSON values."""
+        return {
+            "name": self.settings.name,
+            "route_table": self.membership.routes.version,
+            "routes": len(self.membership.routes.routes),
+            "agents": sorted(self.roster.agents),
+        }
+
+
+class FlowAgentRole(MemberProcess):
+    """One agent process."""
+
+    settings: FlowAgentSettings
+    agent: FlowAgent
+    # Packets of the backend server.
+    outbound: DatagramSocket
+
+    def __init__(self, settings: FlowAgentSettings, codec: PacketCodec) -> None:
+        super().__init__(settings)
+        self.settings = settings
+        now = time.monotonic()
+        record = AgentRecord(
+            settings.name,
+            draw_incarnation(),
+            1,
+            settings.address,
+            settings.service,
+            settings.data_centre,
+            1,
+            accepting=False,
+            leaving=False,
+        )
+        self.agent = FlowAgent(
+            record,
+            codec,
+            self.roster,
+            BackendServer(settings.service, settings.server_interval_s),
+            self.counters,
+            now if settings.first_start else now + LONGEST_FLOW_S,
+        )
+        self.membership.agent = record
+        self.roster.listeners.append(lambda: self.agent.take_roster(time.monotonic()))
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether this process can serve flows."""
+        return self.membership.epoch != 0 and not self.leaving
+
+    async def start(self) -> Result[None, Failure]:
+        """Bind the sockets and start the tasks; a failure leaves nothing open."""
+        try:
+            self.open_socket()
+        except OSError as error:
+            return Err(Failure("start agent", str(self.settings.address), str(error)))
+        try:
+            self.outbound = DatagramSocket(
+                self.settings.outbound_address, self.take_server_packet, self.counters
+            )
+        except OSError as error:
+            self.socket.close()
+            peer = str(self.settings.outbound_address)
+            return Err(Failure("start agent", peer, str(error)))
+        server = self.settings.server_address
+        send = self.outbound.send
+        self.agent.connect(
+            self.socket.send,
+            self.send_to_caller_from(self.socket),
+            lambda data: send(data, server),
+            self.announce_change,
+        )
+        self.run_task(self.announce(), "announce")
+        self.run_task(self.run_timers(), "timers")
+        return Ok(None)
+
+    def announce_change(self) -> None:
+        """Tell controllers at once what changed in this agent's record."""
+        self.membership.agent = self.agent.record
+        self.membership.announce(time.monotonic(), hurry=True)
+
+    def take_flow_datagram(self, kind: Kind, data: bytes, sender: SocketName) -> None:
+        """Handle a datagram about flows."""
+        self.agent.take_datagram(kind, data, sender, time.monotonic())
+
+    def take_server_packet(self, data: bytes, _sender: SocketName) -> None:
+        """Handle a packet of the backend server."""
+        self.agent.delivery.take_server_packet(data, time.monotonic())
+
+    def take_table(self) -> None:
+        """Use the time-outs of a newer table."""
+        timeout_s = self.membership.routes.idle_timeout_ms / MS_PER_S
+        self.agent.idle_timeout_s = timeout_s
+        self.agent.owner.directory.lifetime_s = timeout_s
+
+    async def run_timers(self) -> None:
+        """Run what is due, for as long as the process runs."""
+        while True:
+            self.agent.tick(time.monotonic())
+            await asyncio.sleep(AGENT_TICK_S)
+
+    async def drain(self) -> None:
+        """Take no new flows and return once none is open or the time is over."""
+        self.leaving = True
+        self.agent.leave(time.monotonic())
+        deadline = time.monotonic() + self.settings.grace_s - STOP_MARGIN_S
+        while self.agent.book.list_open() and time.monotonic() < deadline:
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    async def stop(self) -> None:
+        """Close everything at once."""
+        await super().stop()
+        self.outbound.close()
+
+    def dump(self) -> dict[str, object]:
+        """Return the state of the process as JSON values."""
+        return {
+            "name": self.settings.name,
+            "route_table": self.membership.routes.version,
+            "agents": sorted(self.roster.agents),
+            **self.agent.dump(),
+        }
--- /dev/null
+++ b/src/lentilfork/forwarding/roster.py
@@ -0,0 +1,146 @@
+"""Which agents there are, and which of them owns a flow.
+
+Every process derives owners from its own roster by rendezvous hashing, so nothing
+is sent for each flow or bucket. Agents in the data centre of the balancer come
+first: all balancers there agree, and packets stay there. Agents that are lost,
+about to stop or beside a draining backend server own nothing while others live.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from dataclasses import dataclass
+from functools import lru_cache
+
+import xxhash
+
+from lentilfork.forwarding.packets import hash_name
+from lentilfork.routing import find_bucket
+from lentilfork.schema import roster_pb2
+from lentilfork.settings import split_address
+
+__all__ = ["AgentRecord", "Roster", "decode_agent", "encode_agent"]
+
+SocketName = tuple[str, int]
+CACHED_SCORES = 1 << 18
+
+
+@dataclass(frozen=True, slots=True)
+class AgentRecord:
+    """One agent as it announced itself."""
+
+    name: str
+    # Drawn anew at each start of the process.
+    incarnation: int
+    # Grows with each change of the rest.
+    sequence: int
+    address: SocketName
+    service: str
+    data_centre: str
+    slots: int
+    # The backend server takes new flows.
+    accepting: bool
+    # The process is about to stop.
+    leaving: bool
+    # The controller has not heard of it for a while.
+    lost: bool = False
+
+    @property
+    def age(self) -> tuple[int, int]:
+        """What orders two records of one agent."""
+        return self.incarnation, self.sequence
+
+    @property
+    def is_available(self) -> bool:
+        """Whether new flows may be placed there."""
+        return self.accepting and not self.leaving and not self.lost
+
+
+def decode_agent(message: roster_pb2.FlowAgent) -> AgentRecord:
+    """Return the record of a message; raises ValueError for a bad address."""
+    return AgentRecord(
+        message.name,
+        message.incarnation,
+        message.sequence,
+        split_address(message.address),
+        message.service,
+        message.data_centre,
+        max(message.slots, 1),
+        message.accepting,
+        message.leaving,
+        message.lost,
+    )
+
+
+def encode_agent(record: AgentRecord) -> roster_pb2.FlowAgent:
+    """Return the message of a record."""
+    return roster_pb2.FlowAgent(
+        name=record.name,
+        incarnation=record.incarnation,
+        sequence=record.sequence,
+        address=f"{record.address[0]}:{record.address[1]}",
+        service=record.service,
+        data_centre=record.data_centre,
+        slots=record.slots,
+        accepting=record.accepting,
+        leaving=record.leaving,
+        lost=record.lost,
+    )
+
+
+@lru_cache(CACHED_SCORES)
+def score(name: str, bucket: int) -> int:
+    """Return the rendezvous score of an agent for a bucket."""
+    return xxhash.xxh3_64_intdigest(name.encode(), seed=bucket)
+
+
+class Roster:
+    """The agents a process knows of."""
+
+    agents: dict[str, AgentRecord]
+    # Agents of each service by its identifier, sorted by name.
+    services: dict[int, list[AgentRecord]]
+    # Ranked agents by service, data centre and bucket; emptied by a change.
+    ranked: dict[tuple[int, int, int], list[AgentRecord]]
+    # Called after a change.
+    listeners: list[Callable[[], None]]
+
+    def __init__(self) -> None:
+        self.agents = {}
+        self.services = {}
+        self.ranked = {}
+        self.listeners = []
+
+    def replace(self, records: Iterable[AgentRecord]) -> None:
+        """Take a whole new set of agents."""
+        self.agents = {record.name: record for record in records}
+        self.ranked.clear()
+        self.services = {}
+        for record in sorted(self.agents.values(), key=lambda item: item.name):
+            self.services.setdefault(hash_name(record.service), []).append(record)
+        for listener in self.listeners:
+            listener()
+
+    def list_agents(self, service: int) -> list[AgentRecord]:
+        """Return the agents of a service, sorted by name."""
+        return self.services.get(service, [])
+
+    def rank_owners(self, service: int, ingress: int, key: bytes) -> list[AgentRecord]:
+        """Return the agents in the order in which they would own a flow."""
+        bucket = find_bucket(key)
+        found = self.ranked.get((service, ingress, bucket))
+        if found is None:
+            found = sorted(
+                self.list_agents(service),
+                key=lambda agent: (
+                    agent.lost or agent.leaving,
+                    not agent.accepting,
+                    hash_name(agent.data_centre) != ingress,
+                    -score(agent.name, bucket),
+                ),
+            )
+            self.ranked[service, ingress, bucket] = found
+        return found
+
+    def list_ingresses(self) -> set[int]:
+        """Return the identifiers of the data centres with agents."""
+        return {hash_name(agent.data_centre) for agent in self.agents.values()}
--- /dev/null
+++ b/src/lentilfork/forwarding/routes.py
@@ -0,0 +1,62 @@
+"""The routes of forwarded flows, indexed by address and port."""
+
+from bisect import bisect_right
+from dataclasses import dataclass
+from dataclasses import field
+from itertools import accumulate
+
+from lentilfork.forwarding.packets import hash_name
+from lentilfork.schema import state_pb2
+
+__all__ = ["Route", "RouteIndex", "index_routes"]
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Where new flows to one address and port go."""
+
+    services: tuple[str, ...]
+    # Running sums of the services' weights.
+    weights: tuple[int, ...]
+    deadline_ms: int
+    target_ms: int
+    priority: int
+
+    def choose_service(self, flow_hash: int) -> str:
+        """Return the service of a flow; the same one for all its packets."""
+        if len(self.services) == 1:
+            return self.services[0]
+        return self.services[bisect_right(self.weights, flow_hash % self.weights[-1])]
+
+
+@dataclass(frozen=True, slots=True)
+class RouteIndex:
+    """One version of the route table."""
+
+    version: int = 0
+    idle_timeout_ms: int = 15_000
+    # By IPv4 address as a number and port.
+    routes: dict[tuple[int, int], Route] = field(default_factory=dict)
+    # Service names by the identifier that envelopes carry.
+    services: dict[int, str] = field(default_factory=dict)
+
+
+def index_routes(table: state_pb2.RouteTable) -> RouteIndex:
+    """Return the index of a route table."""
+    routes = {
+        (item.address, item.port): Route(
+            tuple(target.service for target in item.targets),
+            tuple(accumulate(target.weight for target in item.targets)),
+            item.deadline_ms,
+            item.target_ms,
+            item.priority,
+        )
+        for item in table.routes
+    }
+    names = {name for route in routes.values() for name in route.services}
+    return RouteIndex(
+        table.version,
+        table.idle_timeout_ms,
+        routes,
+        {hash_name(name): name for name in names},
+    )
--- /dev/null
+++ b/src/lentilfork/http_server.py
@@ -0,0 +1,135 @@
+"""A small HTTP/1.1 server on asyncio streams; h11 reads and writes the protocol."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Final
+
+import h11
+
+from lentilfork.logs import Logger
+
+__all__ = ["Handler", "Request", "Response", "serve_http"]
+
+READ_BYTES: Final = 65_536
+# Larger than any configuration document; more is refused.
+MAXIMUM_BODY_BYTES: Final = 8 * 1024 * 1024
+# Clients keep connections open between calls that are seconds apart.
+IDLE_TIMEOUT_S: Final = 30.0
+BACKLOG: Final = 512
+
+log = Logger("http")
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """One request with its whole body."""
+
+    method: str
+    path: str
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """One response; its body is JSON."""
+
+    status: int
+    body: bytes = b"{}"
+    headers: dict[str, str] = field(default_factory=dict)
+
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+async def serve_http(address: tuple[str, int], handler: Handler) -> asyncio.Server:
+    """Return a server that listens at an address; raises OSError if it is in use."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            await serve_connection(reader, writer, handler)
+        except (OSError, TimeoutError, h11.ProtocolError) as error:
+            log.debug("connection ended", error=repr(error))
+        finally:
+            writer.close()
+
+    return await asyncio.start_server(serve, *address, backlog=BACKLOG)
+
+
+async def serve_connection(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, handler: Handler
+) -> None:
+    """Answer the requests of one connection, one after the other."""
+    connection = h11.Connection(h11.SERVER)
+    while True:
+        try:
+            request = await read_request(connection, reader)
+        except h11.RemoteProtocolError as error:
+            if connection.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
+                await write_response(
+                    connection, writer, Response(error.error_status_hint)
+                )
+            return
+        if request is None:
+            return
+        await write_response(connection, writer, await answer(handler, request))
+        if connection.our_state is not h11.DONE:
+            return
+        connection.start_next_cycle()
+
+
+async def answer(handler: Handler, request: Request) -> Response:
+    """Return the handler's response; 500 if it raises."""
+    try:
+        return await handler(request)
+    except Exception as error:
+        log.error(
+            "request failed",
+            method=request.method,
+            path=request.path,
+            error=repr(error),
+        )
+        return Response(500)
+
+
+async def read_request(
+    connection: h11.Connection, reader: asyncio.StreamReader
+) -> Request | None:
+    """Return the next request, None when the client has closed the connection."""
+    head: h11.Request | None = None
+    body = bytearray()
+    while True:
+        event = connection.next_event()
+        match event:
+            case h11.NEED_DATA:
+                async with asyncio.timeout(IDLE_TIMEOUT_S):
+                    connection.receive_data(await reader.read(READ_BYTES))
+            case h11.Request():
+                head = event
+            case h11.Data():
+                body += event.data
+                if len(body) > MAXIMUM_BODY_BYTES:
+                    raise h11.RemoteProtocolError("body too large", 413)
+            case h11.EndOfMessage():
+                assert head is not None
+                method, path = head.method.decode(), head.target.decode()
+                return Request(method, path, bytes(body))
+            case _:
+                return None
+
+
+async def write_response(
+    connection: h11.Connection, writer: asyncio.StreamWriter, response: Response
+) -> None:
+    """Write a whole response."""
+    headers = {
+        "Content-Type": "application/json",
+        "Content-Length": str(len(response.body)),
+        **response.headers,
+    }
+    head = h11.Response(status_code=response.status, headers=list(headers.items()))
+    events = (head, h11.Data(data=response.body), h11.EndOfMessage())
+    writer.write(b"".join(filter(None, map(connection.send, events))))
+    await writer.drain()
--- a/src/lentilfork/logs.py
+++ b/src/lentilfork/logs.py
@@ -11,6 +11,7 @@
 import sys
 from typing import TYPE_CHECKING
 from typing import Any
+from typing import TextIO
 
 import logbook
 from logbook.compat import RedirectLoggingHandler
@@ -50,7 +51,9 @@
     return text if text and plain else json.dumps(text)
 
 
-def configure_logs(settings: "LogSettings", process: str) -> None:
+def configure_logs(
+    settings: "LogSettings", process: str, stream: TextIO | None = None
+) -> None:
     """Install the handler for this process; `process` names it in each record."""
 
     def write_json(record: Any, _handler: Any) -> str:
@@ -64,7 +67,7 @@
         tail = "".join(f" {key}={quote(value)}" for key, value in fields.items())
         return f"{head} {logger}: {message}{tail}"
 
-    handler = logbook.StreamHandler(sys.stderr, level=settings.level.upper())
+    handler = logbook.StreamHandler(stream or sys.stderr, level=settings.level.upper())
     handler.formatter = write_json if settings.format == "json" else write_text
     handler.push_application()
     logging.basicConfig(
--- /dev/null
+++ b/src/lentilfork/platform/calls.py
@@ -0,0 +1,74 @@
+"""The platform's HTTP calls, translated into calls of the product's roles."""
+
+import time
+import zlib
+from typing import Final
+
+from result import Err
+
+from lentilfork.forwarding.controller import FlowControllerRole
+from lentilfork.forwarding.processes import FlowAgentRole
+from lentilfork.forwarding.processes import FlowBalancerRole
+from lentilfork.http_server import Request
+from lentilfork.http_server import Response
+from lentilfork.platform.bodies import read_configuration
+from lentilfork.platform.bodies import read_heartbeat
+from lentilfork.platform.bodies import read_leave
+
+__all__ = ["answer_agent", "answer_controller", "answer_ready"]
+
+READY_PATH: Final = "/v1/ready"
+INSTANCE_PREFIX: Final = "/v1/instances/"
+CONFIG_PATH: Final = "/v1/config"
+NOT_FOUND: Final = Response(404)
+
+
+async def answer_ready(
+    role: FlowBalancerRole | FlowAgentRole, request: Request
+) -> Response:
+    """Answer the routers' readiness check."""
+    if request.path != READY_PATH:
+        return NOT_FOUND
+    return Response(200 if role.is_ready else 503)
+
+
+async def answer_agent(role: FlowAgentRole, request: Request) -> Response:
+    """Answer a heartbeat or a leave of the endpoint on this machine."""
+    if not request.path.startswith(INSTANCE_PREFIX):
+        return NOT_FOUND
+    server_id = request.path.removeprefix(INSTANCE_PREFIX)
+    now = time.monotonic()
+    match request.method:
+        case "PUT":
+            beat = read_heartbeat(server_id, request.body)
+            if isinstance(beat, Err):
+                role.counters.add("heartbeats_refused")
+                return Response(400)
+            role.agent.take_announcement(beat.ok_value, now)
+            return Response(200)
+        case "DELETE":
+            role.agent.take_leave(server_id, read_leave(request.body), now)
+            return Response(200)
+        case _:
+            return Response(405)
+
+
+async def answer_controller(role: FlowControllerRole, request: Request) -> Response:
+    """Answer the operator."""
+    if request.path != CONFIG_PATH:
+        return NOT_FOUND
+    match request.method:
+        case "PUT":
+            table = read_configuration(request.body)
+            if isinstance(table, Err):
+                role.counters.add("tables_refused")
+                return Response(400)
+            stored = await role.put_table(table.ok_value)
+            return Response(503 if isinstance(stored, Err) else 200)
+        case "GET":
+            read = await role.read_table()
+            if isinstance(read, Err) or not read.ok_value.source:
+                return Response(503)
+            return Response(200, zlib.decompress(read.ok_value.source))
+        case _:
+            return Response(405)
--- a/src/lentilfork/settings.py
+++ b/src/lentilfork/settings.py
@@ -187,6 +187,15 @@
     controllers: Annotated[
         tuple[ControllerPeer, ...], Field(min_length=1), AfterValidator(check_different)
     ]
+    # False: never begins a new history, since one exists or has existed.
+    may_begin: bool = True
+    # How many controllers vote; None: as many as the state began with.
+    voters: Annotated[int, Field(ge=1, le=9)] | None = None
+    # A voter silent for this long gives its vote to a controller that waits.
+    replace_silent_ms: Annotated[int, Field(ge=500)] = 20_000
+    # Tells a copied data folder by inode and change time; off where a host's
+    # storage does not keep these over a restart.
+    sealed_folder: bool = True
     # How many of a service's agents may be taken out at once for silence; the
     # default is as many as one data centre has. The last ones never are.
     silence_limit_percent: Annotated[int, Field(ge=1, le=100)] | None = None
--- a/src/lentilfork/state/changes.py
+++ b/src/lentilfork/state/changes.py
@@ -26,6 +26,7 @@
 from lentilfork.state.model import ClusterState
 from lentilfork.state.operator_changes import apply_preset
 from lentilfork.state.operator_changes import apply_service
+from lentilfork.state.operator_changes import put_route_table
 from lentilfork.state.operator_changes import remove_preset
 from lentilfork.state.operator_changes import remove_service
 from lentilfork.state.operator_changes import use_preset
@@ -86,6 +87,9 @@
         ),
         "put",
     ),
+    "put_route_table": ChangeKind(
+        put_route_table, lambda _change: "route-table", "put"
+    ),
     "put_controllers": ChangeKind(
         put_controllers, lambda _change: "controllers", "put"
     ),
--- a/src/lentilfork/state/operator_changes.py
+++ b/src/lentilfork/state/operator_changes.py
@@ -1,4 +1,4 @@
-"""What operators change: services, presets and the preset in force."""
+"""What operators change: services, presets, the preset in force, route tables."""
 
 from dataclasses import replace
 
@@ -78,3 +78,10 @@
         active_preset=name,
         active_preset_version=state.cluster.generation + 1,
     )
+
+
+def put_route_table(state: ReplicatedState, change: state_pb2.Change) -> Effect:
+    """Replace the route table; one that is not newer changes nothing."""
+    if change.put_route_table.version <= state.route_table.version:
+        return Effect(state)
+    return Effect(replace(state, route_table=change.put_route_table))
--- a/src/lentilfork/state/replicated.py
+++ b/src/lentilfork/state/replicated.py
@@ -46,6 +46,8 @@
     # Operators' accepted changes by generation.
     entries: Ledger[int, state_pb2.HistoryEntry] = field(default_factory=Ledger)
     next_service_id: int = 1
+    # Routes of forwarded flows; version 0 while none were put.
+    route_table: state_pb2.RouteTable = field(default_factory=state_pb2.RouteTable)
     # For each agent name the incarnations accepted, oldest first.
     incarnations: dict[str, tuple[int, ...]] = field(default_factory=dict)
 
--- a/src/lentilfork/state/snapshots.py
+++ b/src/lentilfork/state/snapshots.py
@@ -78,6 +78,7 @@
     message.history.extend(state.entries.get_items())
     message.history_dropped = state.entries.dropped
     message.next_service_id = state.next_service_id
+    message.route_table.CopyFrom(state.route_table)
     message.incarnations.extend(
         state_pb2.KnownIncarnations(agent=name, incarnations=known)
         for name, known in state.incarnations.items()
@@ -100,6 +101,7 @@
             message.history_dropped,
         ),
         next_service_id=message.next_service_id,
+        route_table=message.route_table,
         incarnations={
             known.agent: tuple(known.incarnations) for known in message.incarnations
         },
--- a/tests/agreement/fakes.py
+++ b/tests/agreement/fakes.py
@@ -300,6 +300,11 @@
         """Ask to be admitted."""
         return await self.send("Join", address, request, timeout_s)
 
+    async def confirm_read(self, address: str, timeout_s: float) -> Any:
+        """Ask for an index to read at."""
+        request = agreement_pb2.ReadRequest()
+        return await self.send("ConfirmRead", address, request, timeout_s)
+
     async def identify(self, address: str, timeout_s: float) -> Any:
         """Ask for the identity."""
         request = agreement_pb2.IdentifyRequest()
