--- /dev/null
+++ b/tests/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the forwarding of packet flows."""
--- /dev/null
+++ b/tests/forwarding/simulation.py
@@ -0,0 +1,510 @@
+"""A model of callers, routers and backend servers around real balancers and agents.
+
+Time is virtual and randomness seeded, so a run repeats exactly. Callers send
+copies of their SYN and try again as the platform's do; backend servers work in
+slots, queue a few requests and reject the rest.
+"""
+
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from itertools import count
+
+from lentilfork.counters import Counters
+from lentilfork.forwarding.agent import FlowAgent
+from lentilfork.forwarding.backend_server import BackendServer
+from lentilfork.forwarding.backend_server import ServerAnnouncement
+from lentilfork.forwarding.backend_server import ServerState
+from lentilfork.forwarding.balancer import FlowBalancer
+from lentilfork.forwarding.decisions import DecisionLog
+from lentilfork.forwarding.envelopes import read_kind
+from lentilfork.forwarding.packets import PacketFlags
+from lentilfork.forwarding.roster import AgentRecord
+from lentilfork.forwarding.roster import Roster
+from lentilfork.forwarding.routes import index_routes
+from lentilfork.platform.header import HEADER
+from lentilfork.platform.header import HeaderCodec
+from lentilfork.schema import state_pb2
+
+SERVICE = "chairs"
+ADDRESS = 0xC6120001
+PORT = 443
+ZONES = ("north", "south", "west")
+DELAY_S = 0.0003
+FAR_DELAY_S = 0.0012
+CALLER_DELAY_S = 0.001
+TICK_S = 0.01
+SYN_COPIES_S = (0.2, 0.6)
+SYN_GIVE_UP_S = 1.4
+RETRANSMIT_S = 0.2
+SYN_BIT, ACK_BIT, RST_BIT, FIN_BIT, REJECTED_BIT = 4, 2, 8, 32, 16
+SERVER_QUEUE = 12
+CODEC = HeaderCodec()
+
+
+class Clock:
+    """Virtual time and the events to come."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.numbers = count()
+
+    def call_at(self, at_s: float, call: Callable[[], None]) -> None:
+        """Run a call at a time."""
+        heapq.heappush(self.events, (at_s, next(self.numbers), call))
+
+    def call_in(self, delay_s: float, call: Callable[[], None]) -> None:
+        """Run a call after a delay."""
+        self.call_at(self.now + delay_s, call)
+
+    def run(self, until_s: float) -> None:
+        """Run events until a time."""
+        while self.events and self.events[0][0] <= until_s:
+            self.now, _, call = heapq.heappop(self.events)
+            call()
+        self.now = until_s
+
+
+def make_packet(
+    source: tuple[int, int],
+    destination: tuple[int, int],
+    flags: int,
+    sequence: int = 0,
+    acknowledgement: int = 0,
+    payload: bytes = b"",
+    tag: int = 0,
+) -> bytes:
+    """Return a packet in the platform's format."""
+    head = HEADER.pack(
+        tag,
+        destination[1],
+        destination[0],
+        source[0],
+        source[1],
+        sequence,
+        acknowledgement,
+        1,
+        flags,
+        len(payload),
+    )
+    return head + payload
+
+
+@dataclass
+class Attempt:
+    """One try of a request: a flow."""
+
+    request: "Request"
+    port: int
+    sequence: int | None = None
+    ended: bool = False
+
+
+@dataclass
+class Request:
+    """One request of a caller and how it ended."""
+
+    zone: str
+    at_s: float
+    work_s: float
+    deadline_s: float
+    answered_s: float | None = None
+    tries: int = 0
+    refused: int = 0
+    runs: int = 0
+
+    @property
+    def took_s(self) -> float:
+        """Time from the first try to the answer; infinite without one."""
+        if self.answered_s is None:
+            return float("inf")
+        return self.answered_s - self.at_s
+
+
+@dataclass
+class Server:
+    """A backend server: slots, a short queue, flows it holds."""
+
+    host: "AgentHost"
+    speed: float
+    slots: int
+    flows: dict[tuple[int, int], int] = field(default_factory=dict)
+    running: int = 0
+    queue: list[Attempt] = field(default_factory=list)
+    busy_s: float = 0.0
+    down: bool = False
+    # Packets that were not of a flow held here.
+    rejected: int = 0
+
+    def take(self, data: bytes) -> None:
+        """Take a packet from the agent."""
+        if self.down:
+            return
+        packet = CODEC.parse(data)
+        assert packet is not None
+        caller = (packet.source, packet.source_port)
+        if packet.is_opening:
+            full = len(self.queue) + self.running >= self.slots + SERVER_QUEUE
+            if full and caller not in self.flows:
+                self.reject(data)
+                return
+            sequence = self.flows.setdefault(
+                caller, self.host.world.random.getrandbits(32)
+            )
+            self.answer(caller, SYN_BIT | ACK_BIT, sequence)
+        elif caller not in self.flows:
+            self.reject(data)
+        elif packet.payload_bytes:
+            attempt = self.host.world.attempts[packet.source_port]
+            if attempt.request.runs == 0 or attempt.request.tries > 1:
+                self.begin(attempt)
+
+    def reject(self, data: bytes) -> None:
+        """Return a packet."""
+        self.rejected += 1
+        returned = bytearray(data)
+        returned[28] |= REJECTED_BIT
+        self.host.later(lambda: self.host.from_server(bytes(returned)))
+
+    def answer(
+        self, caller: tuple[int, int], flags: int, sequence: int, payload: bytes = b""
+    ) -> None:
+        """Send a packet to a caller."""
+        data = make_packet((ADDRESS, PORT), caller, flags, sequence, 0, payload)
+        self.host.later(lambda: self.host.from_server(data))
+
+    def begin(self, attempt: Attempt) -> None:
+        """Run a request, now or when a slot is free."""
+        if self.running >= self.slots:
+            self.queue.append(attempt)
+            return
+        self.running += 1
+        attempt.request.runs += 1
+        work_s = attempt.request.work_s / self.speed
+        self.busy_s += work_s
+        self.host.world.clock.call_in(work_s, lambda: self.finish(attempt))
+
+    def finish(self, attempt: Attempt) -> None:
+        """Answer a request and take the next one."""
+        self.running -= 1
+        if self.down:
+            return
+        caller = (attempt.port, attempt.port)
+        sequence = self.flows.get(caller, 0)
+        self.answer(caller, ACK_BIT | FIN_BIT, sequence + 1, b"answer")
+        if self.queue:
+            self.begin(self.queue.pop(0))
+
+
+class AgentHost:
+    """An agent with the backend server beside it."""
+
+    def __init__(
+        self, world: "World", name: str, zone: str, speed: float, slots: int
+    ) -> None:
+        self.world = world
+        self.name = name
+        self.zone = zone
+        self.address = (name, 1)
+        self.server = Server(self, speed, slots)
+        self.down = False
+        self.roster = Roster()
+        record = AgentRecord(
+            name, 1, 1, self.address, SERVICE, zone, slots, False, False
+        )
+        self.agent = FlowAgent(
+            record, CODEC, self.roster, BackendServer(SERVICE, 1.0), Counters(), 0.0
+        )
+        self.agent.connect(
+            self.send, world.send_to_caller, self.to_server, world.spread_roster
+        )
+        self.sequence = count(1)
+        self.draining = False
+        self.cold_until = 0.0
+
+    def later(self, call: Callable[[], None]) -> None:
+        """Run a call after the delay within the host."""
+        self.world.clock.call_in(0.00005, call)
+
+    def send(self, data: bytes, address: tuple[str, int]) -> None:
+        """Send a datagram to another host."""
+        if not self.down:
+            self.world.send(data, self.address, self.zone, address)
+
+    def to_server(self, data: bytes) -> None:
+        """Hand a packet to the backend server."""
+        self.later(lambda: self.server.take(data))
+
+    def from_server(self, data: bytes) -> None:
+        """Take a packet of the backend server."""
+        if not self.down:
+            self.agent.delivery.take_server_packet(data, self.world.clock.now)
+
+    def take(self, data: bytes, sender: tuple[str, int]) -> None:
+        """Take a datagram."""
+        kind = read_kind(data)
+        if not self.down and kind is not None:
+            self.agent.take_datagram(kind, data, sender, self.world.clock.now)
+
+    def tick(self) -> None:
+        """Run the agent's timers."""
+        if not self.down:
+            self.agent.tick(self.world.clock.now)
+            self.world.clock.call_in(TICK_S, self.tick)
+
+    def beat(self) -> None:
+        """Announce the backend server."""
+        if self.down or self.server.down:
+            return
+        now = self.world.clock.now
+        state = ServerState.DRAINING if self.draining else ServerState.READY
+        cold_ms = max(0, round((self.cold_until - now) * 1000))
+        announcement = ServerAnnouncement(
+            self.name,
+            1,
+            next(self.sequence),
+            SERVICE,
+            self.server.slots,
+            state,
+            cold_ms,
+        )
+        self.agent.take_announcement(announcement, now)
+        self.world.clock.call_in(1.0, self.beat)
+
+
+class World:
+    """A whole deployment in virtual time."""
+
+    def __init__(self, speeds: list[float], slots: int = 1, seed: int = 1) -> None:
+        self.random = random.Random(seed)
+        self.clock = Clock()
+        self.hosts: dict[str, AgentHost] = {}
+        self.balancers: dict[str, list[FlowBalancer]] = {}
+        self.requests: list[Request] = []
+        self.attempts: dict[int, Attempt] = {}
+        self.ports = count(10_000)
+        self.lost: set[str] = set()
+        self.resets_of_open_flows = 0
+        for zone in ZONES:
+            self.balancers[zone] = [self.make_balancer(zone) for _ in range(3)]
+        for number, speed in enumerate(speeds):
+            self.add_host(
+                f"agent-{number}", ZONES[number % len(ZONES)], speed, slots, late=False
+            )
+        self.spread_roster()
+        self.clock.run(0.5)
+
+    def make_balancer(self, zone: str) -> FlowBalancer:
+        """Return a balancer with the one route there is."""
+        balancer = FlowBalancer(CODEC, Roster(), zone, Counters(), DecisionLog())
+        balancer.routes = index_routes(
+            state_pb2.RouteTable(
+                version=1,
+                routes=[
+                    state_pb2.Route(
+                        address=ADDRESS,
+                        port=PORT,
+                        targets=[state_pb2.Target(service=SERVICE, weight=1)],
+                        deadline_ms=1000,
+                        target_ms=100,
+                        priority=1,
+                    )
+                ],
+            )
+        )
+        balancer.send = lambda data, address: self.send(data, (zone, 0), zone, address)
+        balancer.send_to_caller = self.send_to_caller
+        return balancer
+
+    def add_host(
+        self, name: str, zone: str, speed: float, slots: int, *, late: bool = True
+    ) -> AgentHost:
+        """Add an agent with its backend server."""
+        host = AgentHost(self, name, zone, speed, slots)
+        self.hosts[name] = host
+        host.beat()
+        host.tick()
+        if late:
+            self.spread_roster()
+        return host
+
+    def spread_roster(self) -> None:
+        """Tell everyone the agents there are, soon."""
+        self.clock.call_in(0.05, self.deliver_roster)
+
+    def deliver_roster(self) -> None:
+        """Replace every roster."""
+        from dataclasses import replace
+
+        records = [
+            replace(host.agent.record, lost=name in self.lost)
+            for name, host in self.hosts.items()
+        ]
+        for host in self.hosts.values():
+            host.roster.replace(records)
+            host.agent.take_roster(self.clock.now)
+        for group in self.balancers.values():
+            for balancer in group:
+                balancer.roster.replace(records)
+
+    def send(
+        self,
+        data: bytes,
+        sender: tuple[str, int],
+        zone: str,
+        address: tuple[str, int],
+    ) -> None:
+        """Carry a datagram between hosts."""
+        host = self.hosts.get(address[0])
+        if host is not None:
+            delay_s = DELAY_S if host.zone == zone else FAR_DELAY_S
+            self.clock.call_in(delay_s, lambda: host.take(data, sender))
+
+    def send_to_caller(self, data: bytes, _address: int) -> None:
+        """Carry a packet to its caller."""
+        self.clock.call_in(CALLER_DELAY_S, lambda: self.take_answer(data))
+
+    def from_caller(self, zone: str, data: bytes) -> None:
+        """Carry a caller's packet to one of its zone's balancers."""
+        group = self.balancers[zone]
+        balancer = self.random.choice(group)
+        self.clock.call_in(
+            CALLER_DELAY_S, lambda: balancer.take_packet(data, self.clock.now)
+        )
+
+    def arrive(self, request: Request) -> None:
+        """Have a caller make a request."""
+        self.requests.append(request)
+        self.clock.call_at(request.at_s, lambda: self.start_try(request))
+
+    def start_try(self, request: Request) -> None:
+        """Open a flow for a request."""
+        if self.clock.now > request.at_s + request.deadline_s or request.tries >= 3:
+            return
+        request.tries += 1
+        attempt = Attempt(request, next(self.ports))
+        self.attempts[attempt.port] = attempt
+        self.send_syn(attempt, 0)
+        for number, after_s in enumerate(SYN_COPIES_S, start=1):
+            self.clock.call_in(
+                after_s, lambda number=number: self.send_syn(attempt, number)
+            )
+        self.clock.call_in(SYN_GIVE_UP_S, lambda: self.give_up(attempt))
+
+    def send_syn(self, attempt: Attempt, copies: int) -> None:
+        """Send a SYN or a copy of it, unless the flow is open."""
+        if attempt.ended or attempt.sequence is not None:
+            return
+        caller = (attempt.port, attempt.port)
+        data = make_packet(caller, (ADDRESS, PORT), SYN_BIT, 7, copies)
+        self.from_caller(attempt.request.zone, data)
+
+    def give_up(self, attempt: Attempt) -> None:
+        """End a try whose flow did not open."""
+        if attempt.sequence is None and not attempt.ended:
+            attempt.ended = True
+            self.start_try(attempt.request)
+
+    def take_answer(self, data: bytes) -> None:
+        """Handle a packet at its caller."""
+        packet = CODEC.parse(data)
+        assert packet is not None
+        attempt = self.attempts[packet.destination_port]
+        if attempt.ended:
+            return
+        if packet.flags & PacketFlags.RST:
+            self.take_reset(attempt)
+        elif packet.flags & PacketFlags.SYN:
+            if attempt.sequence is None:
+                attempt.sequence = packet.sequence
+                self.send_request(attempt, RETRANSMIT_S)
+        elif packet.payload_bytes:
+            attempt.ended = True
+            attempt.request.answered_s = self.clock.now
+            self.send_following(attempt, ACK_BIT | FIN_BIT, b"")
+
+    def take_reset(self, attempt: Attempt) -> None:
+        """Handle a reset: try again."""
+        attempt.ended = True
+        if attempt.sequence is not None:
+            self.resets_of_open_flows += 1
+        attempt.request.refused += 1
+        self.clock.call_in(0.05, lambda: self.start_try(attempt.request))
+
+    def send_request(self, attempt: Attempt, again_s: float) -> None:
+        """Send the request, again until it is answered or begun."""
+        request = attempt.request
+        if attempt.ended or self.clock.now > request.at_s + request.deadline_s:
+            return
+        if request.runs < request.tries:
+            self.send_following(attempt, ACK_BIT, b"request")
+            self.clock.call_in(
+                again_s, lambda: self.send_request(attempt, min(again_s * 2, 1.6))
+            )
+
+    def send_following(self, attempt: Attempt, flags: int, payload: bytes) -> None:
+        """Send a packet of an open flow."""
+        assert attempt.sequence is not None
+        caller = (attempt.port, attempt.port)
+        acknowledgement = (attempt.sequence + 1) % (1 << 32)
+        data = make_packet(caller, (ADDRESS, PORT), flags, 8, acknowledgement, payload)
+        self.from_caller(attempt.request.zone, data)
+
+    def add_load(
+        self,
+        per_s: float,
+        from_s: float,
+        until_s: float,
+        mean_work_s: float = 0.015,
+        zones: tuple[str, ...] = ZONES,
+        deadline_s: float = 1.0,
+    ) -> list[Request]:
+        """Have requests arrive at random; returns them."""
+        added = []
+        at_s = from_s
+        while (at_s := at_s + self.random.expovariate(per_s)) < until_s:
+            work_s = mean_work_s * self.random.lognormvariate(-0.125, 0.5)
+            request = Request(self.random.choice(zones), at_s, work_s, deadline_s)
+            self.arrive(request)
+            added.append(request)
+        return added
+
+
+def get_percentile(values: list[float], percent: float) -> float:
+    """Return a percentile of values."""
+    ordered = sorted(values)
+    return ordered[min(int(len(ordered) * percent / 100), len(ordered) - 1)]
+
+
+def serve_ideally(requests: list[Request], speeds: list[float]) -> list[float]:
+    """Return the times of one queue before all slots, the fastest free one first."""
+    free = sorted((-speed, slot) for slot, speed in enumerate(speeds))
+    heapq.heapify(free)
+    busy: list[tuple[float, int]] = []
+    times = []
+    for request in sorted(requests, key=lambda item: item.at_s):
+        while busy and busy[0][0] <= request.at_s:
+            _, slot = heapq.heappop(busy)
+            heapq.heappush(free, (-speeds[slot], slot))
+        if free:
+            begins, slot = request.at_s, heapq.heappop(free)[1]
+        else:
+            begins, slot = heapq.heappop(busy)
+        ends = begins + request.work_s / speeds[slot]
+        heapq.heappush(busy, (ends, slot))
+        times.append(ends - request.at_s)
+    return times
+
+
+__all__ = [
+    "ZONES",
+    "AgentHost",
+    "Request",
+    "World",
+    "get_percentile",
+    "make_packet",
+    "serve_ideally",
+]
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
