Admit by target, report load at once, drop what waited in a pause

After a power cut balancers reset flows before they knew any agent, which used up the tries in 40 ms.

Change: sockets drop what arrived while the process did not run; a flow whose request does not follow stops counting after 0.12 s; load is reported at once; a flow is refused when its answer is expected after a share of its target; no reset for want of agents until the roster has settled; agents and balancers no longer import gRPC or the whole settings.

--- a/src/lentilfork/bench/capacity_tables.py
+++ b/src/lentilfork/bench/capacity_tables.py
@@ -16,8 +16,8 @@
 from lentilfork.claims.records import Attempt
 from lentilfork.claims.records import RecordTable
 from lentilfork.claims.records import encode_record
+from lentilfork.directory import Directory
 from lentilfork.exchanges import Exchanges
-from lentilfork.routing.directory import Directory
 from lentilfork.state.model import Agent
 from lentilfork.state.model import ClaimShard
 from lentilfork.state.model import ClusterState
--- a/src/lentilfork/borders/operators.py
+++ b/src/lentilfork/borders/operators.py
@@ -16,8 +16,8 @@
 
 from lentilfork.agreement import Replica
 from lentilfork.channels import Channels
+from lentilfork.clocks import read_clock_ms
 from lentilfork.counters import Counters
-from lentilfork.membership.clocks import read_clock_ms
 from lentilfork.membership.hub import Hub
 from lentilfork.membership.status import describe_controllers
 from lentilfork.membership.status import describe_members
--- /dev/null
+++ b/src/lentilfork/buckets.py
@@ -0,0 +1,14 @@
+"""Buckets of flows: what owners are derived for, instead of single flows."""
+
+from typing import Final
+
+import xxhash
+
+__all__ = ["BUCKETS", "find_bucket"]
+
+BUCKETS: Final = 256
+
+
+def find_bucket(flow_key: bytes) -> int:
+    """Return the bucket of a flow, 0 to BUCKETS - 1."""
+    return xxhash.xxh3_64_intdigest(flow_key) % BUCKETS
--- a/src/lentilfork/cli/connection.py
+++ b/src/lentilfork/cli/connection.py
@@ -16,12 +16,12 @@
 from result import Ok
 from result import Result
 
+from lentilfork.addresses import check_socket_address
 from lentilfork.errors import ExitCode
 from lentilfork.errors import Failure
 from lentilfork.settings import DocumentModel
 from lentilfork.settings import SocketAddress
 from lentilfork.settings import TlsSettings
-from lentilfork.settings import check_socket_address
 from lentilfork.settings import load_document
 
 __all__ = [
--- a/src/lentilfork/cli/processes.py
+++ b/src/lentilfork/cli/processes.py
@@ -12,13 +12,13 @@
 from result import Result
 
 from lentilfork import VERSION
+from lentilfork.addresses import check_socket_address
 from lentilfork.cli.client import ControllerClient
 from lentilfork.cli.command import JSON_OPTION
 from lentilfork.cli.command import ClientCommand
 from lentilfork.cli.output import format_json
 from lentilfork.errors import ExitCode
 from lentilfork.errors import Failure
-from lentilfork.settings import check_socket_address
 
 __all__ = ["DumpView", "VersionView"]
 
--- a/src/lentilfork/controller.py
+++ b/src/lentilfork/controller.py
@@ -23,11 +23,11 @@
 from lentilfork.channels import Channels
 from lentilfork.claims.plan import plan_shards
 from lentilfork.claims.plan import track_lost
+from lentilfork.clocks import read_clock_ms
 from lentilfork.counters import Counters
 from lentilfork.errors import Failure
 from lentilfork.inspection import InspectionService
 from lentilfork.logs import Logger
-from lentilfork.membership.clocks import read_clock_ms
 from lentilfork.membership.hub import Hub
 from lentilfork.membership.leadership import Leadership
 from lentilfork.membership.leases import Leases
--- a/src/lentilfork/forwarding/agent.py
+++ b/src/lentilfork/forwarding/agent.py
@@ -33,8 +33,8 @@
 
 SocketName = tuple[str, int]
 # Load reports follow a change at once but not more often than this for each peer.
-REPORT_INTERVAL_PER_PEER_S: Final = 0.003
-MINIMUM_REPORT_INTERVAL_S: Final = 0.015
+REPORT_INTERVAL_PER_PEER_S: Final = 0.0003
+MINIMUM_REPORT_INTERVAL_S: Final = 0.002
 LONGEST_REPORT_INTERVAL_S: Final = 0.25
 # A backend server that leaves so many SYNs in a row unanswered for so long is down.
 UNANSWERED_SYNS: Final = 3
@@ -158,6 +158,7 @@
             self.owner.route(envelope, packet, now)
         else:
             self.delivery.deliver(envelope, packet, now)
+        self.report_if_due(now)
 
     def take_load(self, data: bytes, now: float) -> None:
         """Take another agent's load."""
@@ -203,6 +204,9 @@
             self.server.is_accepting(now) and not unanswered and not self.record.leaving
         )
         self.delivery.accepting = accepting
+        self.delivery.server_known = (
+            self.server.latest is not None or self.record.leaving
+        )
         slots = self.server.latest.slots if self.server.latest else self.record.slots
         if (accepting, slots) == (self.record.accepting, self.record.slots):
             return
@@ -223,7 +227,21 @@
     def tick(self, now: float) -> None:
         """Run what is due; called every few milliseconds."""
         self.owner.offer_again(now)
+        self.book.settle_unused(now)
         self.update_record(now)
+        self.report_if_due(now)
+        if now - self.forgot_at >= FORGET_INTERVAL_S:
+            self.forgot_at = now
+            self.book.forget_old(now, self.idle_timeout_s)
+            self.decisions.start_second()
+
+    def take_server_packet(self, data: bytes, now: float) -> None:
+        """Handle a packet of the backend server."""
+        self.delivery.take_server_packet(data, now)
+        self.report_if_due(now)
+
+    def report_if_due(self, now: float) -> None:
+        """Report a changed load, not too often, and an unchanged one now and then."""
         state = (self.book.outstanding, self.record.accepting)
         peers = len(self.roster.list_agents(self.delivery.service)) - 1
         pause_s = max(REPORT_INTERVAL_PER_PEER_S * peers, MINIMUM_REPORT_INTERVAL_S)
@@ -231,10 +249,6 @@
         changed = state != self.reported and elapsed_s >= pause_s
         if changed or elapsed_s >= LONGEST_REPORT_INTERVAL_S:
             self.report(now)
-        if now - self.forgot_at >= FORGET_INTERVAL_S:
-            self.forgot_at = now
-            self.book.forget_old(now, self.idle_timeout_s)
-            self.decisions.start_second()
 
     def report(self, now: float) -> None:
         """Tell the other agents of the service this one's load."""
--- a/src/lentilfork/forwarding/balancer.py
+++ b/src/lentilfork/forwarding/balancer.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from lentilfork.buckets import find_bucket
 from lentilfork.counters import Counters
 from lentilfork.forwarding.decisions import DecisionLog
 from lentilfork.forwarding.envelopes import Envelope
@@ -20,13 +21,15 @@
 from lentilfork.forwarding.roster import Roster
 from lentilfork.forwarding.routes import Route
 from lentilfork.forwarding.routes import RouteIndex
-from lentilfork.routing import find_bucket
 
 __all__ = ["FlowBalancer"]
 
 SocketName = tuple[str, int]
 # A table confirmed by a controller within this time tells that a route is absent.
 FRESH_TABLE_S: Final = 1.0
+# Agents that started with this process have announced themselves by then; until
+# then a SYN waits for its copies instead of being refused.
+SETTLE_S: Final = 2.0
 
 
 class FlowBalancer:
@@ -37,6 +40,8 @@
     routes: RouteIndex
     # When a controller last confirmed that `routes` is the newest version.
     confirmed_at: float
+    # When a whole roster was first taken; infinite before.
+    synced_at: float
     ingress: int
     counters: Counters
     decisions: DecisionLog
@@ -56,6 +61,7 @@
         self.roster = roster
         self.routes = RouteIndex()
         self.confirmed_at = float("-inf")
+        self.synced_at = float("inf")
         self.ingress = hash_name(data_centre)
         self.counters = counters
         self.decisions = decisions
@@ -70,7 +76,7 @@
         if route is None:
             self.refuse_unrouted(packet, now)
             return
-        self.forward(packet, route)
+        self.forward(packet, route, now)
 
     def refuse_unrouted(self, packet: FlowPacket, now: float) -> None:
         """Reset a flow without a route, if the table is known to be the newest."""
@@ -83,14 +89,16 @@
         self.decisions.write("reset", key, "no route", version=self.routes.version)
         self.send_to_caller(self.codec.make_reset(packet), packet.source)
 
-    def forward(self, packet: FlowPacket, route: Route) -> None:
+    def forward(self, packet: FlowPacket, route: Route, now: float) -> None:
         """Send a packet to the owner of its flow."""
         key = make_caller_key(packet)
         service = hash_name(route.choose_service(find_bucket(key)))
         owners = self.roster.rank_owners(service, self.ingress, key)
         if not owners:
             self.counters.add("packets_dropped", "no_agent")
-            if packet.is_opening and packet.acknowledgement == 0:
+            settled = now - self.synced_at >= SETTLE_S
+            if settled and packet.is_opening and packet.acknowledgement == 0:
+                self.counters.add("flows_reset", "no_agent")
                 self.decisions.write(
                     "reset", key, "no agent", route=self.routes.version
                 )
--- a/src/lentilfork/forwarding/controller.py
+++ b/src/lentilfork/forwarding/controller.py
@@ -32,6 +32,7 @@
 from lentilfork.forwarding.processes import report_task
 from lentilfork.forwarding.settings import FlowControllerSettings
 from lentilfork.forwarding.sockets import DatagramSocket
+from lentilfork.forwarding.sockets import PauseDetector
 from lentilfork.logs import Logger
 from lentilfork.schema import agreement_pb2_grpc
 from lentilfork.schema import roster_pb2
@@ -115,6 +116,7 @@
     hub: RosterHub
     table: StoredTable
     server: grpc.aio.Server | None
+    pauses: PauseDetector
     socket: DatagramSocket | None
     table_server: asyncio.Server | None
     tasks: list["asyncio.Task[None]"]
@@ -127,6 +129,7 @@
             make_settings(settings), self.channels, self.counters, random.Random()
         )
         self.table = StoredTable()
+        self.pauses = PauseDetector()
         self.hub = RosterHub(
             format_socket(settings.address),
             settings.data_centre,
@@ -173,7 +176,7 @@
             )
             await self.server.start()
             self.socket = DatagramSocket(
-                (host, port), self.take_datagram, self.counters
+                (host, port), self.take_datagram, self.counters, self.pauses
             )
             self.hub.send = self.socket.send
             self.table_server = await asyncio.start_server(
@@ -228,6 +231,8 @@
     async def sweep(self) -> None:
         """Watch for members that fall silent."""
         while True:
+            if self.pauses.check():
+                self.pauses.drop_waiting()
             self.hub.sweep(time.monotonic())
             await asyncio.sleep(SWEEP_INTERVAL_S)
 
--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -49,6 +49,8 @@
     book: FlowBook
     # The backend server takes new flows.
     accepting: bool
+    # It has announced itself to this process.
+    server_known: bool
     # Every flow that the backend server holds has passed this process.
     knows_all_since: float
     counters: Counters
@@ -83,6 +85,7 @@
         self.counters = counters
         self.decisions = decisions
         self.accepting = False
+        self.server_known = False
         self.knows_all_since = knows_all_since
         self.unanswered = 0
         self.unanswered_since = 0.0
@@ -103,7 +106,7 @@
         """Offer a new flow to the backend server."""
         key = make_caller_key(packet)
         flow = self.book.find(key)
-        if not self.accepting and flow is None:
+        if flow is None and not self.takes_new_flows():
             self.owner.place_elsewhere(envelope, packet, now, "not accepting")
             return
         flow = self.book.offer(key, envelope.ingress, now)
@@ -113,6 +116,14 @@
         self.unanswered += 1
         self.hand_over(packet, envelope.hops)
 
+    def takes_new_flows(self) -> bool:
+        """Tell whether new flows may be offered to the backend server.
+
+        One that has not announced itself to this process yet is tried: after a
+        restart of the agent it may well be there.
+        """
+        return self.accepting or not self.server_known
+
     def deliver_following(
         self, envelope: Envelope, packet: FlowPacket, now: float
     ) -> None:
--- a/src/lentilfork/forwarding/flows.py
+++ b/src/lentilfork/forwarding/flows.py
@@ -20,6 +20,9 @@
 # A flow that was offered and never opened stops counting: three copies of a SYN
 # are sent within 0.6 s and the caller gives up after 1.4 s.
 OPENING_TIMEOUT_S: Final = 1.5
+# A flow that opened counts as coming work for this long: a caller's request follows
+# within one round trip, and one that does not come was opened elsewhere as well.
+REQUEST_TIMEOUT_S: Final = 0.12
 # A request that gets no answer for this long stops counting as outstanding.
 ANSWER_TIMEOUT_S: Final = 10.0
 # Late packets of a closed flow still find their backend server.
@@ -66,6 +69,8 @@
     """Flows by key, and the load that they are."""
 
     flows: OrderedDict[bytes, Flow]
+    # Flows whose request has not come, with the time they were offered.
+    opening: OrderedDict[bytes, float]
     slots: int
     # Flows that wait for the answer to their SYN or to a request.
     outstanding: int
@@ -76,6 +81,7 @@
 
     def __init__(self, slots: int) -> None:
         self.flows = OrderedDict()
+        self.opening = OrderedDict()
         self.slots = slots
         self.outstanding = 0
         self.running = 0
@@ -91,6 +97,7 @@
         if flow is None or flow.closed:
             flow = Flow(key, ingress, 0, now, now)
             self.flows[key] = flow
+            self.opening[key] = now
             flow.outstanding = True
             self.outstanding += 1
         self.touch(flow, now)
@@ -112,6 +119,7 @@
         if flow.requested_at is not None or flow.closed:
             return
         flow.requested_at = now
+        self.opening.pop(flow.key, None)
         self.running += 1
         flow.running = self.running
         if not flow.outstanding:
@@ -149,6 +157,17 @@
         if flow is not None:
             self.settle(flow)
 
+    def settle_unused(self, now: float) -> None:
+        """Stop counting flows whose request did not come in time."""
+        while self.opening:
+            key, offered_at = next(iter(self.opening.items()))
+            if now - offered_at < REQUEST_TIMEOUT_S:
+                return
+            del self.opening[key]
+            flow = self.flows.get(key)
+            if flow is not None and flow.requested_at is None:
+                self.settle(flow)
+
     def list_open(self) -> list[Flow]:
         """Return the flows that are not closed."""
         return [flow for flow in self.flows.values() if not flow.closed]
--- a/src/lentilfork/forwarding/hub.py
+++ b/src/lentilfork/forwarding/hub.py
@@ -32,7 +32,7 @@
 TOMBSTONE_S: Final = 120.0
 MEMBER_SILENT_S: Final = 3.0
 # Every agent announces itself several times within this time.
-WARM_UP_S: Final = 1.0
+WARM_UP_S: Final = 0.6
 # Keeps an update within one unfragmented datagram.
 AGENTS_PER_UPDATE: Final = 9
 
--- a/src/lentilfork/forwarding/membership.py
+++ b/src/lentilfork/forwarding/membership.py
@@ -15,6 +15,7 @@
 
 from google.protobuf.message import DecodeError
 
+from lentilfork.addresses import split_address
 from lentilfork.counters import Counters
 from lentilfork.forwarding.envelopes import Kind
 from lentilfork.forwarding.roster import AgentRecord
@@ -26,7 +27,6 @@
 from lentilfork.logs import Logger
 from lentilfork.schema import roster_pb2
 from lentilfork.schema import state_pb2
-from lentilfork.settings import split_address
 
 __all__ = [
     "ANNOUNCE_INTERVAL_S",
@@ -157,7 +157,8 @@
         self.choose_primary(now)
         for view in list(self.controllers.values()):
             primary = view.address == self.primary
-            frequent = hurry or primary or self.agent is not None
+            searching = self.primary is None
+            frequent = hurry or primary or searching or self.agent is not None
             if not frequent and now - view.asked_at < STATUS_INTERVAL_S:
                 continue
             view.asked_at = now
@@ -188,14 +189,18 @@
         heard = [
             view
             for view in self.controllers.values()
-            if now - view.heard_at <= CONTROLLER_SILENT_S and view.warm
+            if now - view.heard_at <= CONTROLLER_SILENT_S
         ]
         if not heard:
             self.use_seeds()
             return
         best = min(
             heard,
-            key=lambda view: (view.data_centre != self.data_centre, view.address),
+            key=lambda view: (
+                not view.warm,
+                view.data_centre != self.data_centre,
+                view.address,
+            ),
         )
         log.info(
             "roster taken from another controller",
--- a/src/lentilfork/forwarding/ownership.py
+++ b/src/lentilfork/forwarding/ownership.py
@@ -14,6 +14,7 @@
 from typing import Final
 
 from lentilfork.counters import Counters
+from lentilfork.directory import Directory
 from lentilfork.forwarding.decisions import DecisionLog
 from lentilfork.forwarding.envelopes import Envelope
 from lentilfork.forwarding.envelopes import Kind
@@ -26,7 +27,6 @@
 from lentilfork.forwarding.placement import choose_agent
 from lentilfork.forwarding.roster import AgentRecord
 from lentilfork.forwarding.roster import Roster
-from lentilfork.routing import Directory
 
 __all__ = ["FlowOwner", "Offer"]
 
@@ -39,6 +39,11 @@
 # Agents that pass a rejected SYN on before the caller is told.
 MAXIMUM_SYN_HOPS: Final = 4
 MS_PER_S: Final = 1_000
+# Part of a route's target that work and waiting may take; the rest is for the way
+# and for what the estimate does not see.
+ADMITTED_SHARE: Final = 0.7
+PRIORITY_STEP: Final = 0.1
+MINIMUM_ADMITTED_SHARE: Final = 0.4
 
 
 @dataclass(slots=True)
@@ -130,12 +135,14 @@
         if choice.agent is None:
             self.refuse(packet, "no agent takes new flows")
             return
-        if choice.expected_s * MS_PER_S > envelope.deadline_ms:
+        limit_ms = get_admission_limit_ms(envelope)
+        if choice.expected_s * MS_PER_S > limit_ms:
             self.refuse(
                 packet,
-                "answer expected after the deadline",
+                "answer expected too late",
                 expected_ms=round(choice.expected_s * MS_PER_S),
-                deadline_ms=envelope.deadline_ms,
+                limit_ms=round(limit_ms),
+                priority=envelope.priority,
             )
             return
         self.offers[key] = Offer(envelope, packet, now, [choice.agent.name])
@@ -222,3 +229,17 @@
             offer.sent_at = now
             self.offers[key] = offer
             self.offer(choice, offer.envelope, offer.packet, now)
+
+
+def get_admission_limit_ms(envelope: Envelope) -> float:
+    """Return how late an answer may be expected for a new flow to be taken.
+
+    Work that would miss its target makes what comes after it miss as well, so a
+    queue longer than the target serves nobody in time. What is less urgent gives
+    way earlier, so that the rest of the queue is left to what is more urgent.
+    """
+    share = max(
+        ADMITTED_SHARE - PRIORITY_STEP * envelope.priority, MINIMUM_ADMITTED_SHARE
+    )
+    limit_ms = envelope.target_ms * share
+    return min(limit_ms, envelope.deadline_ms) if limit_ms else envelope.deadline_ms
--- a/src/lentilfork/forwarding/placement.py
+++ b/src/lentilfork/forwarding/placement.py
@@ -48,7 +48,8 @@
     usable = [agent for agent in available if loads.is_usable(agent.name, now)]
     chosen: AgentRecord | None = None
     best_s = float("inf")
-    for agent in usable or available:
+    present = [agent for agent in candidates if not agent.lost and not agent.leaving]
+    for agent in usable or available or present:
         far = hash_name(agent.data_centre) != ingress
         cost_s = loads.find(agent.name).estimate_s() + far * DISTANCE_COST_S
         if cost_s < best_s:
--- a/src/lentilfork/forwarding/processes.py
+++ b/src/lentilfork/forwarding/processes.py
@@ -13,6 +13,7 @@
 from result import Ok
 from result import Result
 
+from lentilfork.clocks import draw_incarnation
 from lentilfork.counters import Counters
 from lentilfork.errors import Failure
 from lentilfork.forwarding.agent import FlowAgent
@@ -32,8 +33,8 @@
 from lentilfork.forwarding.settings import FlowBalancerSettings
 from lentilfork.forwarding.settings import MemberSettings
 from lentilfork.forwarding.sockets import DatagramSocket
+from lentilfork.forwarding.sockets import PauseDetector
 from lentilfork.logs import Logger
-from lentilfork.membership.clocks import draw_incarnation
 from lentilfork.schema import roster_pb2
 
 __all__ = ["FlowAgentRole", "FlowBalancerRole", "report_task"]
@@ -41,7 +42,7 @@
 SocketName = tuple[str, int]
 # Resolution of the timers of an agent: a fraction of the time after which an
 # offer is made again.
-AGENT_TICK_S: Final = 0.01
+AGENT_TICK_S: Final = 0.005
 DECISION_INTERVAL_S: Final = 1.0
 # Routers take a balancer out after two missed checks at two a second; packets go
 # on arriving until then.
@@ -76,6 +77,7 @@
     roster: Roster
     membership: Membership
     fetcher: TableFetcher
+    pauses: PauseDetector
     # Datagrams of other processes.
     socket: DatagramSocket
     tasks: list["asyncio.Task[None]"]
@@ -86,6 +88,7 @@
         self.settings = settings
         self.counters = Counters()
         self.roster = Roster()
+        self.pauses = PauseDetector()
         host, port = settings.address
         self.membership = Membership(
             settings.name,
@@ -121,7 +124,7 @@
     def open_socket(self) -> None:
         """Bind the socket for other processes; raises OSError."""
         self.socket = DatagramSocket(
-            self.settings.address, self.take_datagram, self.counters
+            self.settings.address, self.take_datagram, self.counters, self.pauses
         )
         self.membership.send = self.socket.send
 
@@ -159,6 +162,8 @@
     async def announce(self) -> None:
         """Announce this process for as long as it runs."""
         while True:
+            if self.pauses.check():
+                self.pauses.drop_waiting()
             now = time.monotonic()
             self.membership.announce(now)
             self.fetcher.start_if_needed(now)
@@ -213,7 +218,10 @@
             )
         try:
             self.packets = DatagramSocket(
-                self.settings.packet_address, self.take_packet, self.counters
+                self.settings.packet_address,
+                self.take_packet,
+                self.counters,
+                self.pauses,
             )
         except OSError as error:
             self.socket.close()
@@ -243,6 +251,8 @@
         """Handle a controller's update, which may confirm the table."""
         super().take_update(data, sender)
         now = time.monotonic()
+        if self.membership.epoch != 0:
+            self.balancer.synced_at = min(self.balancer.synced_at, now)
         if self.membership.has_fresh_table(now):
             self.balancer.confirmed_at = now
 
@@ -313,7 +323,12 @@
             return Err(Failure("start agent", str(self.settings.address), str(error)))
         try:
             self.outbound = DatagramSocket(
-                self.settings.outbound_address, self.take_server_packet, self.counters
+                self.settings.outbound_address,
+                self.take_server_packet,
+                self.counters,
+                self.pauses,
+                # Answers are late then, but ready.
+                keeps_waiting=True,
             )
         except OSError as error:
             self.socket.close()
@@ -342,7 +357,7 @@
 
     def take_server_packet(self, data: bytes, _sender: SocketName) -> None:
         """Handle a packet of the backend server."""
-        self.agent.delivery.take_server_packet(data, time.monotonic())
+        self.agent.take_server_packet(data, time.monotonic())
 
     def take_table(self) -> None:
         """Use the time-outs of a newer table."""
--- a/src/lentilfork/forwarding/roster.py
+++ b/src/lentilfork/forwarding/roster.py
@@ -13,10 +13,10 @@
 
 import xxhash
 
+from lentilfork.addresses import split_address
+from lentilfork.buckets import find_bucket
 from lentilfork.forwarding.packets import hash_name
-from lentilfork.routing import find_bucket
 from lentilfork.schema import roster_pb2
-from lentilfork.settings import split_address
 
 __all__ = ["AgentRecord", "Roster", "decode_agent", "encode_agent"]
 
--- a/src/lentilfork/logs.py
+++ b/src/lentilfork/logs.py
@@ -9,21 +9,30 @@
 import json
 import logging
 import sys
-from typing import TYPE_CHECKING
 from typing import Any
+from typing import Protocol
 from typing import TextIO
 
 import logbook
 from logbook.compat import RedirectLoggingHandler
 
-if TYPE_CHECKING:
-    from lentilfork.settings import LogSettings
-
-__all__ = ["Logger", "configure_logs"]
+__all__ = ["LogOptions", "Logger", "configure_logs"]
 
 Logger = logbook.Logger
 
 
+class LogOptions(Protocol):
+    """How log records are written."""
+
+    @property
+    def format(self) -> str:
+        """Either "text" or "json"."""
+
+    @property
+    def level(self) -> str:
+        """The least level written, in lower case."""
+
+
 def simplify(value: object) -> object:
     """Return a field's value as JSON has it; what JSON lacks becomes text."""
     return value if isinstance(value, bool | int | float) else str(value)
@@ -52,7 +61,7 @@
 
 
 def configure_logs(
-    settings: "LogSettings", process: str, stream: TextIO | None = None
+    settings: LogOptions, process: str, stream: TextIO | None = None
 ) -> None:
     """Install the handler for this process; `process` names it in each record."""
 
--- a/src/lentilfork/member.py
+++ b/src/lentilfork/member.py
@@ -12,10 +12,10 @@
 from result import Result
 
 from lentilfork.channels import Channels
+from lentilfork.clocks import draw_incarnation
 from lentilfork.counters import Counters
 from lentilfork.errors import Failure
 from lentilfork.inspection import InspectionService
-from lentilfork.membership.clocks import draw_incarnation
 from lentilfork.membership.feed import Feed
 from lentilfork.schema import admin_pb2_grpc
 from lentilfork.schema import control_pb2
--- a/src/lentilfork/membership/__init__.py
+++ b/src/lentilfork/membership/__init__.py
@@ -1,7 +1,7 @@
 """Who is in: announcements, leases and the feed of the agreed state."""
 
-from lentilfork.membership.clocks import draw_incarnation
-from lentilfork.membership.clocks import read_clock_ms
+from lentilfork.clocks import draw_incarnation
+from lentilfork.clocks import read_clock_ms
 from lentilfork.membership.feed import HEARTBEAT_MS
 from lentilfork.membership.feed import Feed
 from lentilfork.membership.lease import LEASE_MS
--- a/src/lentilfork/membership/feed.py
+++ b/src/lentilfork/membership/feed.py
@@ -22,9 +22,9 @@
 from result import Err
 
 from lentilfork.channels import Channels
+from lentilfork.clocks import read_clock_ms
 from lentilfork.counters import Counters
 from lentilfork.logs import Logger
-from lentilfork.membership.clocks import read_clock_ms
 from lentilfork.membership.lease import LEASE_MS
 from lentilfork.membership.lease import OwnLease
 from lentilfork.membership.streams import draw_backoff_s
--- a/src/lentilfork/membership/hub.py
+++ b/src/lentilfork/membership/hub.py
@@ -7,8 +7,8 @@
 import grpc.aio
 
 from lentilfork.channels import Channels
+from lentilfork.clocks import read_clock_ms
 from lentilfork.counters import Counters
-from lentilfork.membership.clocks import read_clock_ms
 from lentilfork.membership.keeper import Keeper
 from lentilfork.membership.keeper import PlanShards
 from lentilfork.membership.keeper import Propose
--- a/src/lentilfork/membership/keeper.py
+++ b/src/lentilfork/membership/keeper.py
@@ -13,9 +13,9 @@
 from typing import Any
 from typing import Final
 
+from lentilfork.clocks import read_clock_ms
 from lentilfork.counters import Counters
 from lentilfork.logs import Logger
-from lentilfork.membership.clocks import read_clock_ms
 from lentilfork.membership.leadership import Leadership
 from lentilfork.membership.leases import Leases
 from lentilfork.membership.leases import MemberKey
--- a/src/lentilfork/platform/calls.py
+++ b/src/lentilfork/platform/calls.py
@@ -2,19 +2,22 @@
 
 import time
 import zlib
+from typing import TYPE_CHECKING
 from typing import Final
 
 from result import Err
 
-from lentilfork.forwarding.controller import FlowControllerRole
-from lentilfork.forwarding.processes import FlowAgentRole
-from lentilfork.forwarding.processes import FlowBalancerRole
 from lentilfork.http_server import Request
 from lentilfork.http_server import Response
 from lentilfork.platform.bodies import read_configuration
 from lentilfork.platform.bodies import read_heartbeat
 from lentilfork.platform.bodies import read_leave
 
+if TYPE_CHECKING:
+    from lentilfork.forwarding.controller import FlowControllerRole
+    from lentilfork.forwarding.processes import FlowAgentRole
+    from lentilfork.forwarding.processes import FlowBalancerRole
+
 __all__ = ["answer_agent", "answer_controller", "answer_ready"]
 
 READY_PATH: Final = "/v1/ready"
@@ -24,7 +27,7 @@
 
 
 async def answer_ready(
-    role: FlowBalancerRole | FlowAgentRole, request: Request
+    role: "FlowBalancerRole | FlowAgentRole", request: Request
 ) -> Response:
     """Answer the routers' readiness check."""
     if request.path != READY_PATH:
@@ -32,7 +35,7 @@
     return Response(200 if role.is_ready else 503)
 
 
-async def answer_agent(role: FlowAgentRole, request: Request) -> Response:
+async def answer_agent(role: "FlowAgentRole", request: Request) -> Response:
     """Answer a heartbeat or a leave of the endpoint on this machine."""
     if not request.path.startswith(INSTANCE_PREFIX):
         return NOT_FOUND
@@ -53,7 +56,7 @@
             return Response(405)
 
 
-async def answer_controller(role: FlowControllerRole, request: Request) -> Response:
+async def answer_controller(role: "FlowControllerRole", request: Request) -> Response:
     """Answer the operator."""
     if request.path != CONFIG_PATH:
         return NOT_FOUND
--- a/src/lentilfork/platform/main.py
+++ b/src/lentilfork/platform/main.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
+from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -15,6 +16,7 @@
 
 from result import Err
 
+from lentilfork.addresses import split_address
 from lentilfork.errors import ExitCode
 from lentilfork.http_server import Handler
 from lentilfork.http_server import serve_http
@@ -27,8 +29,6 @@
 from lentilfork.platform.settings import make_agent_settings
 from lentilfork.platform.settings import make_balancer_settings
 from lentilfork.platform.settings import make_controller_settings
-from lentilfork.settings import LogSettings
-from lentilfork.settings import split_address
 
 if TYPE_CHECKING:
     from lentilfork.forwarding.controller import FlowControllerRole
@@ -47,6 +47,14 @@
 log = Logger("daemon")
 
 
+@dataclass(frozen=True, slots=True)
+class JsonLines:
+    """Logs on the platform: one JSON object a line."""
+
+    format: str = "json"
+    level: str = "info"
+
+
 async def start_balancer(settings: PlatformSettings) -> "FlowBalancerRole":
     """Return a running balancer."""
     from lentilfork.forwarding.processes import FlowBalancerRole
@@ -169,7 +177,7 @@
         print(f"{options.settings}: settings are correct")
         return ExitCode.OK
     configure_logs(
-        LogSettings(format="json"),
+        JsonLines(),
         f"{loaded.ok_value.node_id}/{options.role}",
         stream=sys.stdout,
     )
--- a/src/lentilfork/platform/settings.py
+++ b/src/lentilfork/platform/settings.py
@@ -12,13 +12,13 @@
 from result import Ok
 from result import Result
 
+from lentilfork.addresses import SocketAddress
+from lentilfork.addresses import split_address
 from lentilfork.errors import ExitCode
 from lentilfork.errors import Failure
 from lentilfork.forwarding.settings import FlowAgentSettings
 from lentilfork.forwarding.settings import FlowBalancerSettings
 from lentilfork.forwarding.settings import FlowControllerSettings
-from lentilfork.settings import SocketAddress
-from lentilfork.settings import split_address
 
 __all__ = [
     "PlatformSettings",
--- a/src/lentilfork/routing/__init__.py
+++ b/src/lentilfork/routing/__init__.py
@@ -1,11 +1,11 @@
 """Which agent serves a packet: buckets, owners, directory and placement."""
 
+from lentilfork.directory import DOWNLOAD_LIFETIME_S
+from lentilfork.directory import EXCHANGE_LIFETIME_S
+from lentilfork.directory import Directory
+from lentilfork.directory import download_key
+from lentilfork.directory import exchange_key
 from lentilfork.routing.buckets import find_bucket
-from lentilfork.routing.directory import DOWNLOAD_LIFETIME_S
-from lentilfork.routing.directory import EXCHANGE_LIFETIME_S
-from lentilfork.routing.directory import Directory
-from lentilfork.routing.directory import download_key
-from lentilfork.routing.directory import exchange_key
 from lentilfork.routing.loads import LoadBook
 from lentilfork.routing.loads import LoadReport
 from lentilfork.routing.placement import choose_agent
--- a/src/lentilfork/routing/buckets.py
+++ b/src/lentilfork/routing/buckets.py
@@ -6,21 +6,15 @@
 """
 
 from collections.abc import Sequence
-from typing import Final
 
 import xxhash
 
+from lentilfork.buckets import BUCKETS
+from lentilfork.buckets import find_bucket
 from lentilfork.state.model import Agent
 
 __all__ = ["BUCKETS", "find_bucket", "rank_agents", "score_agent"]
 
-BUCKETS: Final = 256
-
-
-def find_bucket(flow_key: bytes) -> int:
-    """Return the bucket of a flow, 0 to BUCKETS - 1."""
-    return xxhash.xxh3_64_intdigest(flow_key) % BUCKETS
-
 
 def score_agent(agent: Agent, bucket: int) -> int:
     """Return the rendezvous score of an agent for a bucket."""
--- a/src/lentilfork/settings.py
+++ b/src/lentilfork/settings.py
@@ -5,7 +5,6 @@
 was expected. Everything inside the daemon takes these frozen models as they are.
 """
 
-import ipaddress
 import json
 from pathlib import Path
 from typing import Annotated
@@ -23,6 +22,8 @@
 from result import Ok
 from result import Result
 
+from lentilfork.addresses import SocketAddress
+from lentilfork.addresses import split_address
 from lentilfork.errors import ExitCode
 from lentilfork.errors import Failure
 
@@ -48,44 +49,13 @@
 
 STEP: Final = "read settings"
 ROLES: Final = frozenset({"agent", "balancer", "controller"})
-MAXIMUM_PORT: Final = 65535
 
 Document = TypeVar("Document")
 
 
-def check_socket_address(text: str) -> str:
-    """Return `text` if it is an IPv4 address and a port, else raises ValueError."""
-    host, separator, port = text.rpartition(":")
-    digits = separator and port.isascii() and port.isdigit()
-    if not digits or not 0 < int(port) <= MAXIMUM_PORT:
-        raise ValueError("expected IPv4:PORT, such as 127.0.0.1:7000")
-    try:
-        ipaddress.IPv4Address(host)
-    except ValueError:
-        raise ValueError("expected IPv4:PORT, such as 127.0.0.1:7000") from None
-    return text
-
-
-SocketAddress = Annotated[
-    str,
-    AfterValidator(check_socket_address),
-    # For editors; the validator above is stricter.
-    Field(
-        json_schema_extra={
-            "pattern": r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$",
-            "examples": ["10.0.0.1:7000"],
-        }
-    ),
-]
 ProcessName = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 
 
-def split_address(text: str) -> tuple[str, int]:
-    """Return the IP address and the port of a checked "ip:port" text."""
-    host, _, port = text.rpartition(":")
-    return host, int(port)
-
-
 class FrozenModel(BaseModel):
     """A model that refuses unknown keys and later changes."""
 
--- a/tests/forwarding/simulation.py
+++ b/tests/forwarding/simulation.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
+from functools import partial
 from itertools import count
 
 from lentilfork.counters import Counters
@@ -34,8 +36,8 @@
 ZONES = ("north", "south", "west")
 DELAY_S = 0.0003
 FAR_DELAY_S = 0.0012
-CALLER_DELAY_S = 0.001
-TICK_S = 0.01
+CALLER_DELAY_S = 0.003
+TICK_S = 0.005
 SYN_COPIES_S = (0.2, 0.6)
 SYN_GIVE_UP_S = 1.4
 RETRANSMIT_S = 0.2
@@ -241,7 +243,7 @@
     def from_server(self, data: bytes) -> None:
         """Take a packet of the backend server."""
         if not self.down:
-            self.agent.delivery.take_server_packet(data, self.world.clock.now)
+            self.agent.take_server_packet(data, self.world.clock.now)
 
     def take(self, data: bytes, sender: tuple[str, int]) -> None:
         """Take a datagram."""
@@ -315,7 +317,11 @@
                 ],
             )
         )
-        balancer.send = lambda data, address: self.send(data, (zone, 0), zone, address)
+
+        def send(data: bytes, address: tuple[str, int]) -> None:
+            self.send(data, (zone, 0), zone, address)
+
+        balancer.send = send
         balancer.send_to_caller = self.send_to_caller
         return balancer
 
@@ -337,8 +343,6 @@
 
     def deliver_roster(self) -> None:
         """Replace every roster."""
-        from dataclasses import replace
-
         records = [
             replace(host.agent.record, lost=name in self.lost)
             for name, host in self.hosts.items()
@@ -389,9 +393,7 @@
         self.attempts[attempt.port] = attempt
         self.send_syn(attempt, 0)
         for number, after_s in enumerate(SYN_COPIES_S, start=1):
-            self.clock.call_in(
-                after_s, lambda number=number: self.send_syn(attempt, number)
-            )
+            self.clock.call_in(after_s, partial(self.send_syn, attempt, number))
         self.clock.call_in(SYN_GIVE_UP_S, lambda: self.give_up(attempt))
 
     def send_syn(self, attempt: Attempt, copies: int) -> None:
@@ -432,7 +434,7 @@
         if attempt.sequence is not None:
             self.resets_of_open_flows += 1
         attempt.request.refused += 1
-        self.clock.call_in(0.05, lambda: self.start_try(attempt.request))
+        self.clock.call_in(0.01, lambda: self.start_try(attempt.request))
 
     def send_request(self, attempt: Attempt, again_s: float) -> None:
         """Send the request, again until it is answered or begun."""
