Refuse more under pressure, serve metrics, prove forwarding with tests

Change: the limit falls with the share of flows refused lately; service times are averaged over some 25 requests. Settings files are watched in the product; the adapter has no timer.

--- a/src/lentilfork/counters.py
+++ b/src/lentilfork/counters.py
@@ -2,11 +2,30 @@
 
 A counter is a name and, where events differ in kind, a reason. Counting is a
 dictionary update, cheap enough for each packet; `metrics` exports the values.
+Durations are counted in buckets of fixed bounds.
 """
 
+from bisect import bisect_left
 from collections import Counter
+from typing import Final
 
-__all__ = ["Counters"]
+__all__ = ["DURATION_BOUNDS_S", "Counters"]
+
+# Upper bounds of the buckets of durations, seconds; targets lie in between.
+DURATION_BOUNDS_S: Final = (
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+)
 
 
 class Counters:
@@ -14,9 +33,23 @@
 
     # Number of events for each (name, reason); the reason is "" for plain counters.
     values: Counter[tuple[str, str]]
+    # For each duration the number of events in each bucket, the last unbounded.
+    durations: dict[str, list[int]]
+    # Sum of each duration in seconds.
+    sums_s: dict[str, float]
 
     def __init__(self) -> None:
         self.values = Counter()
+        self.durations = {}
+        self.sums_s = {}
+
+    def observe(self, name: str, duration_s: float) -> None:
+        """Count an event that took a time."""
+        buckets = self.durations.get(name)
+        if buckets is None:
+            buckets = self.durations[name] = [0] * (len(DURATION_BOUNDS_S) + 1)
+        buckets[bisect_left(DURATION_BOUNDS_S, duration_s)] += 1
+        self.sums_s[name] = self.sums_s.get(name, 0.0) + duration_s
 
     def add(self, name: str, reason: str = "", amount: int = 1) -> None:
         """Count `amount` events."""
--- a/src/lentilfork/forwarding/controller.py
+++ b/src/lentilfork/forwarding/controller.py
@@ -260,6 +260,7 @@
                 failure=failure,
             )
             return Err(failure)
+        self.counters.observe("acknowledgement_time", time.monotonic() - started)
         log.info("route table acknowledged", version=table.version, took_ms=took_ms)
         return Ok(None)
 
--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -197,7 +197,9 @@
             flow.owner = ""
             self.confirm_offer(flow, now)
         if packet.payload_bytes:
-            self.book.take_answer(flow, now)
+            taken_s = self.book.take_answer(flow, now)
+            if taken_s is not None:
+                self.counters.observe("answer_time", taken_s)
         if packet.flags & ENDED:
             self.book.close(flow)
         if not flow.owner:
--- a/src/lentilfork/forwarding/flows.py
+++ b/src/lentilfork/forwarding/flows.py
@@ -13,8 +13,9 @@
 
 __all__ = ["Flow", "FlowBook"]
 
-# Newer samples of the service time count for an eighth, as in TCP's round trip.
-SMOOTHING: Final = 0.125
+# Weight of a new sample of the service time. Requests differ by a factor of two
+# among themselves, so that it takes some twenty to tell backend servers apart.
+SMOOTHING: Final = 0.04
 DEFAULT_SERVICE_TIME_S: Final = 0.02
 MINIMUM_SERVICE_TIME_S: Final = 0.001
 # A flow that was offered and never opened stops counting: three copies of a SYN
--- a/src/lentilfork/forwarding/ownership.py
+++ b/src/lentilfork/forwarding/ownership.py
@@ -44,6 +44,9 @@
 ADMITTED_SHARE: Final = 0.7
 PRIORITY_STEP: Final = 0.1
 MINIMUM_ADMITTED_SHARE: Final = 0.4
+PRESSURE_WEIGHT: Final = 0.6
+# Weight of one flow in the share refused lately; some fifty flows make it up.
+PRESSURE_SMOOTHING: Final = 0.02
 
 
 @dataclass(slots=True)
@@ -68,6 +71,8 @@
     directory: Directory
     # Oldest first, by flow.
     offers: OrderedDict[bytes, Offer]
+    # Share of new flows refused lately.
+    pressure: float
     counters: Counters
     decisions: DecisionLog
     send: Callable[[bytes, SocketName], None]
@@ -91,6 +96,7 @@
         self.loads = loads
         self.directory = Directory(idle_timeout_s)
         self.offers = OrderedDict()
+        self.pressure = 0.0
         self.counters = counters
         self.decisions = decisions
 
@@ -135,8 +141,10 @@
         if choice.agent is None:
             self.refuse(packet, "no agent takes new flows")
             return
-        limit_ms = get_admission_limit_ms(envelope)
-        if choice.expected_s * MS_PER_S > limit_ms:
+        limit_ms = get_admission_limit_ms(envelope, self.pressure)
+        late = choice.expected_s * MS_PER_S > limit_ms
+        self.pressure += PRESSURE_SMOOTHING * (late - self.pressure)
+        if late:
             self.refuse(
                 packet,
                 "answer expected too late",
@@ -201,6 +209,7 @@
         offer = self.offers.pop(key, None)
         if offer is not None:
             self.loads.record_opening(agent)
+            self.counters.observe("opening_time", now - offer.sent_at)
 
     def offer_again(self, now: float) -> None:
         """Offer flows that did not open in time to other agents as well."""
@@ -231,15 +240,18 @@
             self.offer(choice, offer.envelope, offer.packet, now)
 
 
-def get_admission_limit_ms(envelope: Envelope) -> float:
+def get_admission_limit_ms(envelope: Envelope, pressure: float) -> float:
     """Return how late an answer may be expected for a new flow to be taken.
 
     Work that would miss its target makes what comes after it miss as well, so a
     queue longer than the target serves nobody in time. What is less urgent gives
-    way earlier, so that the rest of the queue is left to what is more urgent.
+    way earlier, so that the rest of the queue is left to what is more urgent. Under
+    `pressure`, the share of flows refused lately, the queue is kept shorter still:
+    it is never empty then, and a long one only makes answers late.
     """
     share = max(
         ADMITTED_SHARE - PRIORITY_STEP * envelope.priority, MINIMUM_ADMITTED_SHARE
     )
+    share *= 1 - PRESSURE_WEIGHT * pressure
     limit_ms = envelope.target_ms * share
     return min(limit_ms, envelope.deadline_ms) if limit_ms else envelope.deadline_ms
--- a/src/lentilfork/forwarding/processes.py
+++ b/src/lentilfork/forwarding/processes.py
@@ -18,6 +18,7 @@
 from lentilfork.errors import Failure
 from lentilfork.forwarding.agent import FlowAgent
 from lentilfork.forwarding.backend_server import BackendServer
+from lentilfork.forwarding.backend_server import ServerAnnouncement
 from lentilfork.forwarding.balancer import FlowBalancer
 from lentilfork.forwarding.decisions import DecisionLog
 from lentilfork.forwarding.delivery import LONGEST_FLOW_S
@@ -117,6 +118,8 @@
 
     def take_seeds(self, controllers: tuple[SocketName, ...]) -> None:
         """Take other controllers to begin with, from changed settings."""
+        if self.membership.seeds == list(controllers):
+            return
         log.info("controllers of the settings changed", controllers=str(controllers))
         self.membership.seeds = list(controllers)
         self.membership.use_seeds()
@@ -346,6 +349,14 @@
         self.run_task(self.run_timers(), "timers")
         return Ok(None)
 
+    def take_announcement(self, announcement: ServerAnnouncement) -> None:
+        """Take what the backend server says of itself."""
+        self.agent.take_announcement(announcement, time.monotonic())
+
+    def take_leave(self, server_id: str, born_ms: int | None) -> None:
+        """Take that the backend server ends."""
+        self.agent.take_leave(server_id, born_ms, time.monotonic())
+
     def announce_change(self) -> None:
         """Tell controllers at once what changed in this agent's record."""
         self.membership.agent = self.agent.record
--- a/src/lentilfork/http_server.py
+++ b/src/lentilfork/http_server.py
@@ -34,7 +34,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Response:
-    """One response; its body is JSON."""
+    """One response; its body is JSON unless a header says otherwise."""
 
     status: int
     body: bytes = b"{}"
--- a/src/lentilfork/platform/calls.py
+++ b/src/lentilfork/platform/calls.py
@@ -1,6 +1,5 @@
 """The platform's HTTP calls, translated into calls of the product's roles."""
 
-import time
 import zlib
 from typing import TYPE_CHECKING
 from typing import Final
@@ -40,17 +39,16 @@
     if not request.path.startswith(INSTANCE_PREFIX):
         return NOT_FOUND
     server_id = request.path.removeprefix(INSTANCE_PREFIX)
-    now = time.monotonic()
     match request.method:
         case "PUT":
             beat = read_heartbeat(server_id, request.body)
             if isinstance(beat, Err):
                 role.counters.add("heartbeats_refused")
                 return Response(400)
-            role.agent.take_announcement(beat.ok_value, now)
+            role.take_announcement(beat.ok_value)
             return Response(200)
         case "DELETE":
-            role.agent.take_leave(server_id, read_leave(request.body), now)
+            role.take_leave(server_id, read_leave(request.body))
             return Response(200)
         case _:
             return Response(405)
--- a/src/lentilfork/platform/main.py
+++ b/src/lentilfork/platform/main.py
@@ -18,7 +18,11 @@
 
 from lentilfork.addresses import split_address
 from lentilfork.errors import ExitCode
+from lentilfork.exposition import answer_scrape
+from lentilfork.files import FileWatch
 from lentilfork.http_server import Handler
+from lentilfork.http_server import Request
+from lentilfork.http_server import Response
 from lentilfork.http_server import serve_http
 from lentilfork.logs import Logger
 from lentilfork.logs import configure_logs
@@ -40,8 +44,6 @@
 __all__ = ["main"]
 
 SETTINGS_VARIABLE: Final = "LENTILFORK_NODE_FILE"
-# The file may change without a signal.
-RELOAD_INTERVAL_S: Final = 2.0
 ROLES: Final = ("balancer", "agent", "controller")
 
 log = Logger("daemon")
@@ -105,38 +107,27 @@
         await serve_http(split_address(address), handler)
 
 
-class SettingsWatch:
-    """Hands changed seeds to a running role."""
+def reload_settings(path: Path, role: "AnyRole") -> None:
+    """Hand the controllers of the settings file to a role; a bad file is left."""
+    loaded = load_settings(path)
+    if isinstance(loaded, Err):
+        log.error("settings not reloaded", failure=loaded.err_value)
+        return
+    role.take_seeds(list_controllers(loaded.ok_value))
 
-    path: Path
-    settings: PlatformSettings
-    role: "AnyRole"
 
-    def __init__(self, path: Path, settings: PlatformSettings, role: "AnyRole") -> None:
-        self.path = path
-        self.settings = settings
-        self.role = role
+async def serve_metrics(role: "AnyRole", address: tuple[str, int]) -> None:
+    """Serve a role's metrics."""
 
-    async def run(self) -> None:
-        """Read the file again and again."""
-        while True:
-            await asyncio.sleep(RELOAD_INTERVAL_S)
-            self.reload()
+    async def answer(request: Request) -> Response:
+        return await answer_scrape(role.counters, role.generation, request)
 
-    def reload(self) -> None:
-        """Read the file and act on changed seeds; a bad file changes nothing."""
-        loaded = load_settings(self.path)
-        if isinstance(loaded, Err):
-            log.error("settings not reloaded", failure=loaded.err_value)
-            return
-        if loaded.ok_value.seeds == self.settings.seeds:
-            return
-        self.settings = loaded.ok_value
-        log.info("settings reloaded", seeds=str(self.settings.seeds))
-        self.role.take_seeds(list_controllers(self.settings))
+    await serve_http(address, answer)
 
 
-async def run(role_name: str, path: Path, settings: PlatformSettings) -> ExitCode:
+async def run(
+    role_name: str, path: Path, settings: PlatformSettings, metrics_port: int | None
+) -> ExitCode:
     """Run a role until SIGTERM."""
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
@@ -144,7 +135,9 @@
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, lambda: None)
     role = await STARTS[role_name](settings)
-    watch = SettingsWatch(path, settings, role)
+    if metrics_port is not None:
+        await serve_metrics(role, (settings.ip, metrics_port))
+    watch = FileWatch(path, partial(reload_settings, path, role))
     loop.add_signal_handler(signal.SIGHUP, watch.reload)
     watching = asyncio.create_task(watch.run(), name="settings")
     log.info("started", role=role_name, node=settings.node_id)
@@ -165,6 +158,7 @@
     parser.add_argument(
         "--settings", type=Path, default=os.environ.get(SETTINGS_VARIABLE)
     )
+    parser.add_argument("--metrics-port", type=int, metavar="PORT")
     parser.add_argument("--check", action="store_true")
     options = parser.parse_args(arguments)
     if options.settings is None:
@@ -182,7 +176,14 @@
         stream=sys.stdout,
     )
     try:
-        return asyncio.run(run(options.role, Path(options.settings), loaded.ok_value))
+        return asyncio.run(
+            run(
+                options.role,
+                Path(options.settings),
+                loaded.ok_value,
+                options.metrics_port,
+            )
+        )
     except MissingKeyError as error:
         print(f"lentilfork-node: key {error.key}: missing", file=sys.stderr)
         return ExitCode.USAGE
--- /dev/null
+++ b/tests/agreement/test_reads.py
@@ -0,0 +1,76 @@
+"""Confirmed reads: what was acknowledged before is seen, or there is no answer."""
+
+from collections.abc import Iterator
+
+import pytest
+from result import Ok
+
+from lentilfork.schema import state_pb2
+from tests.agreement.cluster import Cluster
+
+
+@pytest.fixture
+def cluster() -> Iterator[Cluster]:
+    """Three controllers with a leader."""
+    cluster = Cluster(3, seed=11)
+    cluster.start_all()
+    cluster.get_leader()
+    yield cluster
+    cluster.close()
+
+
+def put_table(cluster: Cluster, name: str, version: int) -> None:
+    change = state_pb2.Change(
+        change_id=f"table-{version}",
+        put_route_table=state_pb2.RouteTable(version=version),
+    )
+    task = cluster.propose(name, change)
+    cluster.run_until(task.done)
+
+
+def read(cluster: Cluster, name: str) -> int | None:
+    """Return the version read at a controller, None without an answer."""
+    replica = cluster.replicas[name]
+    confirmed = cluster.loop.run_until_complete(replica.confirm_read())
+    return replica.state.route_table.version if confirmed == Ok(None) else None
+
+
+def test_every_controller_reads_what_was_acknowledged(cluster: Cluster) -> None:
+    for version in range(1, 20):
+        put_table(cluster, "c0", version)
+        for name in cluster.addresses:
+            assert read(cluster, name) in {version, None}
+    assert read(cluster, cluster.get_leader().core.name) == 19
+
+
+def test_leader_that_was_cut_off_does_not_answer(cluster: Cluster) -> None:
+    put_table(cluster, "c0", 5)
+    leader = cluster.get_leader().core.name
+    cluster.network.cut(cluster.addresses[leader])
+    assert read(cluster, leader) is None
+
+
+def test_lower_version_changes_nothing(cluster: Cluster) -> None:
+    put_table(cluster, "c0", 9)
+    put_table(cluster, "c1", 4)
+    assert read(cluster, cluster.get_leader().core.name) == 9
+
+
+def test_table_outlives_a_crash_of_all(cluster: Cluster) -> None:
+    put_table(cluster, "c0", 7)
+    for name in cluster.addresses:
+        cluster.crash(name)
+    cluster.start_all()
+    leader = cluster.get_leader().core.name
+    cluster.run(2)
+    assert read(cluster, leader) == 7
+
+
+def test_table_is_part_of_snapshots(cluster: Cluster) -> None:
+    put_table(cluster, "c0", 7)
+    replica = cluster.get_leader()
+    cluster.loop.run_until_complete(replica.write_snapshot())
+    name = replica.core.name
+    cluster.crash(name)
+    cluster.start(name)
+    assert cluster.replicas[name].state.route_table.version == 7
--- a/tests/forwarding/simulation.py
+++ b/tests/forwarding/simulation.py
@@ -51,14 +51,14 @@
 
     def __init__(self) -> None:
         self.now = 0.0
-        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.events: list[tuple[float, int, Callable[[], object]]] = []
         self.numbers = count()
 
-    def call_at(self, at_s: float, call: Callable[[], None]) -> None:
+    def call_at(self, at_s: float, call: Callable[[], object]) -> None:
         """Run a call at a time."""
         heapq.heappush(self.events, (at_s, next(self.numbers), call))
 
-    def call_in(self, delay_s: float, call: Callable[[], None]) -> None:
+    def call_in(self, delay_s: float, call: Callable[[], object]) -> None:
         """Run a call after a delay."""
         self.call_at(self.now + delay_s, call)
 
--- /dev/null
+++ b/tests/forwarding/test_delivery.py
@@ -0,0 +1,105 @@
+"""Packets of open flows find their backend server, whoever owns the flow now."""
+
+from collections.abc import Callable
+
+from lentilfork.forwarding.envelopes import Envelope
+from lentilfork.forwarding.envelopes import Kind
+from lentilfork.forwarding.envelopes import encode_envelope
+from lentilfork.forwarding.packets import hash_name
+from tests.forwarding.simulation import SERVICE
+from tests.forwarding.simulation import Request
+from tests.forwarding.simulation import World
+from tests.forwarding.simulation import make_packet
+
+
+def open_long_flow(world: World) -> Request:
+    """Open a flow whose request takes a second."""
+    request = Request("north", world.clock.now, 1.0, 5.0)
+    world.arrive(request)
+    world.clock.run(world.clock.now + 0.1)
+    return request
+
+
+def forget_everything(world: World) -> None:
+    """Have every owner forget its directory."""
+    for host in world.hosts.values():
+        host.agent.owner.directory.entries.clear()
+
+
+def send_acknowledgement(world: World) -> Callable[[], None]:
+    """Return what sends one more packet of the only flow."""
+    attempt = next(iter(world.attempts.values()))
+    return lambda: world.send_following(attempt, 2, b"")
+
+
+def test_owner_that_forgot_a_flow_finds_it_without_disturbing_others() -> None:
+    world = World([1.0] * 5)
+    request = open_long_flow(world)
+    forget_everything(world)
+    send_acknowledgement(world)()
+    world.clock.run(3)
+    assert request.answered_s is not None
+    assert not any(host.server.rejected for host in world.hosts.values())
+    assert world.resets_of_open_flows == 0
+
+
+def test_restarted_agents_find_flows_by_what_servers_reject() -> None:
+    world = World([1.0] * 4)
+    request = open_long_flow(world)
+    forget_everything(world)
+    for host in world.hosts.values():
+        host.agent.book.flows.clear()
+        host.agent.delivery.knows_all_since = 60.0
+    send_acknowledgement(world)()
+    world.clock.run(3)
+    assert request.answered_s is not None
+    assert world.resets_of_open_flows == 0
+
+
+def test_flow_lost_by_its_server_is_reset_at_once() -> None:
+    world = World([1.0] * 3)
+    request = open_long_flow(world)
+    for host in world.hosts.values():
+        host.server.flows.clear()
+    send_acknowledgement(world)()
+    world.clock.run(world.clock.now + 0.1)
+    assert request.refused == 1
+
+
+def test_packet_for_another_service_never_reaches_a_server() -> None:
+    world = World([1.0] * 2)
+    host = world.hosts["agent-0"]
+    handed_over: list[bytes] = []
+    host.agent.delivery.send_to_server = handed_over.append
+    syn = make_packet((1, 1), (0xC6120001, 443), 4)
+    other = Envelope(Kind.DELIVER, 0, hash_name("layouts"), 0, 1000, 100, 1, syn)
+    host.take(encode_envelope(other), ("agent-1", 1))
+    assert handed_over == []
+    own = Envelope(Kind.DELIVER, 0, hash_name(SERVICE), 0, 1000, 100, 1, syn)
+    host.take(encode_envelope(own), ("agent-1", 1))
+    assert len(handed_over) == 1
+
+
+def test_packet_of_no_flow_ends_after_every_agent_was_asked() -> None:
+    world = World([1.0] * 4)
+    world.from_caller("north", make_packet((9, 9), (0xC6120001, 443), 2, 5, 5, b"x"))
+    world.clock.run(world.clock.now + 1)
+    dropped = sum(
+        host.agent.counters.get("packets_dropped", "flow_not_found")
+        for host in world.hosts.values()
+    )
+    assert dropped == 1
+
+
+def test_refused_copy_of_a_syn_resets_nothing() -> None:
+    world = World([1.0])
+    host = world.hosts["agent-0"]
+    sent: list[bytes] = []
+    host.agent.owner.send_to_caller = lambda data, _address: sent.append(data)
+    host.agent.server.take_leave("agent-0", 1)
+    host.agent.update_record(world.clock.now)
+    for copies, resets in ((1, 0), (0, 1)):
+        syn = make_packet((5, copies + 1), (0xC6120001, 443), 4, 3, copies)
+        envelope = Envelope(Kind.ROUTE, 0, hash_name(SERVICE), 0, 1000, 100, 1, syn)
+        host.take(encode_envelope(envelope), ("north", 0))
+        assert len(sent) == resets
--- /dev/null
+++ b/tests/platform/test_bodies.py
@@ -0,0 +1,156 @@
+"""Bodies of the platform's calls: accepted, refused, never half read."""
+
+import json
+import zlib
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err
+from result import Ok
+
+from lentilfork.forwarding.backend_server import ServerState
+from lentilfork.platform.bodies import read_configuration
+from lentilfork.platform.bodies import read_heartbeat
+from lentilfork.platform.bodies import read_leave
+
+
+def make_configuration(**changes: Any) -> dict[str, Any]:
+    route = {
+        "name": "seats",
+        "host": "198.18.0.9",
+        "path_prefix": "/8443/",
+        "type": "idempotent",
+        "timeout_ms": 800,
+        "target_latency_ms": 140,
+        "priority": 2,
+        "service": "chairs",
+        "max_attempts": 2,
+    }
+    document = {
+        "version": 12,
+        "routes": [route],
+        "services": [{"name": "chairs", "health_path": "/health"}],
+        "limits": {"idle_timeout_ms": 9_000},
+    }
+    return document | changes
+
+
+def make_route(**changes: Any) -> dict[str, Any]:
+    route: dict[str, Any] = make_configuration()["routes"][0]
+    return route | changes
+
+
+def encode(document: object) -> bytes:
+    return json.dumps(document).encode()
+
+
+def test_configuration_becomes_a_route_table_with_its_text() -> None:
+    body = encode(make_configuration(extra="kept"))
+    table = read_configuration(body).unwrap()
+    assert table.version == 12
+    assert table.idle_timeout_ms == 9_000
+    route = table.routes[0]
+    assert (route.address, route.port) == (0xC6120009, 8443)
+    assert [target.service for target in route.targets] == ["chairs"]
+    assert (route.deadline_ms, route.target_ms, route.priority) == (800, 140, 2)
+    assert zlib.decompress(table.source) == body
+
+
+def test_weights_become_targets_without_those_of_zero() -> None:
+    split = [{"service": "chairs", "weight": 3}, {"service": "chairs", "weight": 0}]
+    route = make_route(backends=split)
+    table = read_configuration(encode(make_configuration(routes=[route]))).unwrap()
+    assert [target.weight for target in table.routes[0].targets] == [3]
+
+
+@pytest.mark.parametrize(
+    "document",
+    [
+        make_configuration(version="7"),
+        make_configuration(version=0),
+        make_configuration(version=True),
+        make_configuration(routes=[make_route(service="layouts")]),
+        make_configuration(routes=[make_route(), make_route(name="again")]),
+        make_configuration(routes=[make_route(timeout_ms=0)]),
+        make_configuration(routes=[make_route(service=None)]),
+        make_configuration(
+            routes=[
+                make_route(service=None, backends=[{"service": "chairs", "weight": 0}])
+            ]
+        ),
+        make_configuration(routes=[make_route(host="somewhere")]),
+        make_configuration(routes=[make_route(path_prefix="/x/")]),
+        make_configuration(limits=None),
+        {"version": 3},
+        [],
+    ],
+)
+def test_invalid_configurations_are_refused(document: object) -> None:
+    assert isinstance(read_configuration(encode(document)), Err)
+
+
+@given(st.integers(0, 200))
+def test_configurations_cut_short_are_refused(length: int) -> None:
+    body = encode(make_configuration())
+    assert isinstance(read_configuration(body[: min(length, len(body) - 1)]), Err)
+
+
+@given(st.binary(max_size=100))
+def test_any_bytes_are_refused_or_read(body: bytes) -> None:
+    read_configuration(body)
+    read_heartbeat("id", body)
+    read_leave(body)
+
+
+def make_beat(**changes: Any) -> dict[str, Any]:
+    beat = {
+        "service": "chairs",
+        "address": "10.0.0.9:8080",
+        "zone": "north",
+        "version": "v1",
+        "concurrency_limit": 2,
+        "state": "ready",
+        "cold_left_ms": 0,
+        "sequence": 4,
+        "born": 1_700_000_000_000,
+    }
+    return beat | changes
+
+
+def test_heartbeat_becomes_an_announcement() -> None:
+    announcement = read_heartbeat("i-1", encode(make_beat(state="draining"))).unwrap()
+    assert announcement.state is ServerState.DRAINING
+    assert (announcement.id, announcement.slots, announcement.sequence) == ("i-1", 2, 4)
+    assert announcement.born_ms == 1_700_000_000_000
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "resting"},
+        {"sequence": "4"},
+        {"concurrency_limit": 0},
+        {"born": 1.5},
+        {"service": None},
+    ],
+)
+def test_malformed_heartbeats_name_no_backend_server(changes: dict[str, Any]) -> None:
+    assert isinstance(read_heartbeat("i-1", encode(make_beat(**changes))), Err)
+
+
+def test_heartbeat_with_a_field_missing_is_refused() -> None:
+    beat = make_beat()
+    del beat["cold_left_ms"]
+    assert isinstance(read_heartbeat("i-1", encode(beat)), Err)
+
+
+def test_unknown_fields_of_a_heartbeat_are_ignored() -> None:
+    assert isinstance(read_heartbeat("i-1", encode(make_beat(colour="red"))), Ok)
+
+
+def test_leave_tells_the_incarnation_if_its_body_does() -> None:
+    assert read_leave(b'{"born": 5}') == 5
+    assert read_leave(b"") is None
+    assert read_leave(b"{") is None
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,107 @@
+"""The platform's settings file."""
+
+from pathlib import Path
+
+import pytest
+from result import Err
+
+from lentilfork.errors import ExitCode
+from lentilfork.platform.main import main
+from lentilfork.platform.settings import MissingKeyError
+from lentilfork.platform.settings import load_settings
+from lentilfork.platform.settings import make_agent_settings
+from lentilfork.platform.settings import make_balancer_settings
+from lentilfork.platform.settings import make_controller_settings
+
+EDGE = """
+node_id = "edge-1"
+role = "balancer"
+ip = "10.0.0.1"
+zone = "north"
+internal_ports = [7000, 7015]
+seeds = ["10.0.0.1:9000", "10.0.1.1:9000"]
+bootstrap = true
+data_dir = "/data/balancer"
+heartbeat_ms = 800
+something_new = "ignored"
+[listen]
+datagram_addr = "10.0.0.1:9100"
+readiness_addr = "10.0.0.1:9200"
+control = "10.0.0.1:9000"
+[fault_tolerance]
+machines = 1
+[bounds]
+grace_s = 6
+catch_up_s = 4
+"""
+
+
+def write(folder: Path, text: str) -> Path:
+    path = folder / "boot.toml"
+    path.write_text(text, encoding="utf-8")
+    return path
+
+
+def test_balancer_settings(tmp_path: Path) -> None:
+    settings = make_balancer_settings(load_settings(write(tmp_path, EDGE)).unwrap())
+    assert settings.packet_address == ("10.0.0.1", 9100)
+    assert settings.address == ("10.0.0.1", 7001)
+    assert settings.controllers == (("10.0.0.1", 7000), ("10.0.1.1", 7000))
+    assert settings.caller_port == 9100
+
+
+def test_controller_settings(tmp_path: Path) -> None:
+    settings = make_controller_settings(load_settings(write(tmp_path, EDGE)).unwrap())
+    assert settings.may_begin
+    assert settings.voters == 3
+    assert settings.replace_silent_ms == 2000
+    assert settings.data_folder == Path("/data/balancer")
+
+
+def test_agent_settings(tmp_path: Path) -> None:
+    text = EDGE.replace(
+        "[listen]",
+        'service = "chairs"\napp = "10.0.0.1:8080"\n[listen]\n'
+        'outbound = "10.0.0.1:8500"',
+    )
+    settings = make_agent_settings(load_settings(write(tmp_path, text)).unwrap())
+    assert settings.service == "chairs"
+    assert settings.server_address == ("10.0.0.1", 8080)
+    assert settings.outbound_address == ("10.0.0.1", 8500)
+    assert settings.server_interval_s == 0.8
+
+
+def test_key_that_a_role_needs_is_named(tmp_path: Path) -> None:
+    settings = load_settings(write(tmp_path, EDGE)).unwrap()
+    with pytest.raises(MissingKeyError) as caught:
+        make_agent_settings(settings)
+    assert caught.value.key == "service"
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "named"),
+    [
+        ('zone = "north"', "zone = 3", "zone"),
+        ("internal_ports = [7000, 7015]", 'internal_ports = "7000"', "internal_ports"),
+        ('"10.0.1.1:9000"', '"nowhere"', "seeds"),
+        ('ip = "10.0.0.1"', "", "ip"),
+        ("[listen]", "[listen", "TOML"),
+    ],
+)
+def test_wrong_settings_are_refused_with_their_key(
+    tmp_path: Path, before: str, after: str, named: str
+) -> None:
+    loaded = load_settings(write(tmp_path, EDGE.replace(before, after)))
+    assert isinstance(loaded, Err)
+    assert named in loaded.err_value.message
+
+
+def test_check_tells_whether_settings_are_correct(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = write(tmp_path, EDGE)
+    assert main(["balancer", "--settings", str(path), "--check"]) == ExitCode.OK
+    assert "correct" in capsys.readouterr().out
+    missing = tmp_path / "missing.toml"
+    code = main(["balancer", "--settings", str(missing), "--check"])
+    assert code == ExitCode.USAGE
