--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -139,8 +139,15 @@
         else:
             self.book.touch(flow, now)
             flow.acknowledged = packet.acknowledgement
-            if packet.payload_bytes:
-                self.book.take_request(flow, now)
+            if packet.payload_bytes and self.book.take_request(flow, now):
+                self.decisions.write(
+                    "handed over",
+                    flow.key,
+                    "the flow is open here",
+                    request=self.codec.read_request_id(packet),
+                    running=self.book.running,
+                    hops=envelope.hops,
+                )
             if packet.flags & PacketFlags.RST:
                 self.book.close(flow)
         self.hand_over(packet, envelope.hops)
--- a/src/lentilfork/forwarding/flows.py
+++ b/src/lentilfork/forwarding/flows.py
@@ -115,10 +115,10 @@
         flow.used_at = now
         self.flows.move_to_end(flow.key)
 
-    def take_request(self, flow: Flow, now: float) -> None:
-        """Note that payload of the caller was handed over."""
+    def take_request(self, flow: Flow, now: float) -> bool:
+        """Note that payload of the caller was handed over; False for more of it."""
         if flow.requested_at is not None or flow.closed:
-            return
+            return False
         flow.requested_at = now
         self.opening.pop(flow.key, None)
         self.running += 1
@@ -126,6 +126,7 @@
         if not flow.outstanding:
             flow.outstanding = True
             self.outstanding += 1
+        return True
 
     def take_answer(self, flow: Flow, now: float) -> float | None:
         """Note payload of the backend server; returns the time it took, once."""
--- a/src/lentilfork/forwarding/membership.py
+++ b/src/lentilfork/forwarding/membership.py
@@ -31,6 +31,7 @@
 __all__ = [
     "ANNOUNCE_INTERVAL_S",
     "LENGTH_BYTES",
+    "SEARCH_INTERVAL_S",
     "TABLE_PORT_OFFSET",
     "Membership",
     "TableFetcher",
@@ -39,6 +40,8 @@
 SocketName = tuple[str, int]
 # An agent counts as lost after 0.85 s: three announcements in a row may be lost.
 ANNOUNCE_INTERVAL_S: Final = 0.2
+# Until a first controller is heard, each try that meets none is time not served.
+SEARCH_INTERVAL_S: Final = 0.08
 # Controllers that neither judge a member's life nor send it changes are asked for
 # their table version only.
 STATUS_INTERVAL_S: Final = 0.6
@@ -225,9 +228,17 @@
         view.data_centre = update.data_centre
         view.table_version = max(view.table_version, update.table_version)
         self.learn_controllers(update, now)
+        if self.primary is None and self.is_suitable(view):
+            # Nothing is known yet: does not wait for the next announcement.
+            self.choose_primary(now)
+            self.send_announcement(address, subscribe=address == self.primary)
         if address == self.primary:
             self.take_agents(update)
 
+    def is_suitable(self, view: ControllerView) -> bool:
+        """Tell whether a controller's roster is worth taking at once."""
+        return view.warm or view.data_centre == self.data_centre
+
     def learn_controllers(self, update: roster_pb2.RosterUpdate, now: float) -> None:
         """Know the controllers that one names; forget those long silent."""
         named = set()
--- a/src/lentilfork/forwarding/packets.py
+++ b/src/lentilfork/forwarding/packets.py
@@ -69,6 +69,9 @@
     def parse(self, data: bytes) -> FlowPacket | None:
         """Return the packet in a datagram, None if it is malformed."""
 
+    def read_request_id(self, packet: FlowPacket) -> str:
+        """Return the id that a request carries in clear, "" if there is none."""
+
     def write_tag(self, data: bytes, tag: int) -> bytes:
         """Return a packet with another tag and not marked as rejected."""
 
--- a/src/lentilfork/forwarding/processes.py
+++ b/src/lentilfork/forwarding/processes.py
@@ -25,6 +25,7 @@
 from lentilfork.forwarding.envelopes import Kind
 from lentilfork.forwarding.envelopes import read_kind
 from lentilfork.forwarding.membership import ANNOUNCE_INTERVAL_S
+from lentilfork.forwarding.membership import SEARCH_INTERVAL_S
 from lentilfork.forwarding.membership import Membership
 from lentilfork.forwarding.membership import TableFetcher
 from lentilfork.forwarding.packets import PacketCodec
@@ -170,7 +171,8 @@
             now = time.monotonic()
             self.membership.announce(now)
             self.fetcher.start_if_needed(now)
-            await asyncio.sleep(ANNOUNCE_INTERVAL_S)
+            known = self.membership.primary is not None
+            await asyncio.sleep(ANNOUNCE_INTERVAL_S if known else SEARCH_INTERVAL_S)
 
     async def stop(self) -> None:
         """Close everything at once."""
--- a/src/lentilfork/platform/header.py
+++ b/src/lentilfork/platform/header.py
@@ -1,5 +1,6 @@
 """The platform's packet header, read into the product's packets and back."""
 
+import re
 import struct
 from typing import Final
 
@@ -21,6 +22,8 @@
     8: PacketFlags.RST,
     16: PacketFlags.REJECTED,
 }
+# Names of headers are matched whatever their case; ids are short words.
+REQUEST_ID: Final = re.compile(rb"(?i)\r\nattempt-id: *([!-~]{1,64})\r\n")
 RST_BIT: Final = 8
 BOUNCED_BIT: Final = 16
 # The product's flags for every value of the wire's byte.
@@ -46,6 +49,11 @@
             src, sport, dst, dport, FLAGS[flags], seq, ack, length, echo, data
         )
 
+    def read_request_id(self, packet: FlowPacket) -> str:
+        """Return the Attempt-Id header of the request that begins in a packet."""
+        found = REQUEST_ID.search(packet.data, HEADER.size)
+        return found.group(1).decode("ascii", "replace") if found else ""
+
     def write_tag(self, data: bytes, tag: int) -> bytes:
         """Return a packet with another echo and without the mark of a bounce.
 
--- /dev/null
+++ b/tests/forwarding/test_controllers.py
@@ -0,0 +1,182 @@
+"""Three controllers with real disks and gRPC: route tables put, read and kept."""
+
+import asyncio
+import shutil
+import socket
+import zlib
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+from result import Ok
+
+from lentilfork.forwarding.controller import FlowControllerRole
+from lentilfork.forwarding.membership import TABLE_PORT_OFFSET
+from lentilfork.forwarding.membership import read_table
+from lentilfork.forwarding.settings import FlowControllerSettings
+from lentilfork.schema import state_pb2
+
+HOSTS = ("127.7.1.1", "127.7.1.2", "127.7.1.3")
+SPARE = "127.7.1.4"
+LIMIT_S = 20.0
+
+
+def find_port() -> int:
+    """Return a port that is free for now, with the one of the table server."""
+    with socket.socket() as probe:
+        probe.bind((HOSTS[0], 0))
+        port: int = probe.getsockname()[1]
+    return min(port, 65_000)
+
+
+class Controllers:
+    """The controllers of one test."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.port = find_port()
+        self.roles: dict[str, FlowControllerRole] = {}
+
+    async def start(self, host: str, *, first: bool) -> None:
+        """Start a controller."""
+        role = FlowControllerRole(
+            FlowControllerSettings(
+                "north",
+                (host, self.port),
+                tuple((seed, self.port) for seed in HOSTS),
+                self.folder / host,
+                first,
+                3,
+                1_000,
+            )
+        )
+        assert await role.start() == Ok(None)
+        self.roles[host] = role
+
+    async def kill(self, host: str) -> None:
+        """Stop a controller without a hand-over."""
+        await self.roles.pop(host).stop()
+
+    async def put(self, host: str, version: int) -> bool:
+        """Put a table at a controller; tells whether it was acknowledged."""
+        table = state_pb2.RouteTable(version=version, source=b"text")
+        return await self.roles[host].put_table(table) == Ok(None)
+
+    async def read(self, host: str) -> int | None:
+        """Return the version read at a controller, None without an answer."""
+        read = await self.roles[host].read_table()
+        return read.ok_value.version if isinstance(read, Ok) else None
+
+    def list_voters(self, host: str) -> set[str]:
+        """Return the hosts that vote, as one controller knows."""
+        members = self.roles[host].replica.core.configuration.values()
+        return {item.control_address.split(":")[0] for item in members if item.voter}
+
+
+@pytest.fixture
+async def controllers(tmp_path: Path) -> AsyncIterator[Controllers]:
+    """Three controllers that have begun a history."""
+    group = Controllers(tmp_path)
+    for host in HOSTS:
+        await group.start(host, first=True)
+    await until(lambda: group.put(HOSTS[0], 1))
+    yield group
+    for host in list(group.roles):
+        await group.kill(host)
+
+
+async def until(condition: Callable[[], Awaitable[bool]]) -> None:
+    """Return once a condition holds."""
+    async with asyncio.timeout(LIMIT_S):
+        while not await condition():
+            await asyncio.sleep(0.05)
+
+
+async def test_table_is_put_anywhere_and_read_everywhere(
+    controllers: Controllers,
+) -> None:
+    for version, host in enumerate(HOSTS, start=2):
+        assert await controllers.put(host, version)
+        assert {await controllers.read(name) for name in HOSTS} <= {version, None}
+    assert await controllers.put(HOSTS[0], 2)
+    assert await controllers.read(HOSTS[0]) == 4
+
+
+async def test_members_fetch_the_table_without_its_text(
+    controllers: Controllers,
+) -> None:
+    data = await read_table(HOSTS[0], controllers.port + TABLE_PORT_OFFSET)
+    table = state_pb2.RouteTable.FromString(zlib.decompress(data))
+    assert (table.version, table.source) == (1, b"")
+
+
+async def test_one_alone_neither_acknowledges_nor_answers(
+    controllers: Controllers,
+) -> None:
+    await controllers.kill(HOSTS[1])
+    await controllers.kill(HOSTS[2])
+    assert not await controllers.put(HOSTS[0], 9)
+    assert await controllers.read(HOSTS[0]) is None
+
+
+async def test_table_outlives_a_kill_of_all(controllers: Controllers) -> None:
+    assert await controllers.put(HOSTS[1], 7)
+    for host in HOSTS:
+        await controllers.kill(host)
+    for host in HOSTS:
+        await controllers.start(host, first=False)
+
+    async def reads_it() -> bool:
+        return await controllers.read(HOSTS[2]) == 7
+
+    await until(reads_it)
+
+
+async def test_controller_that_lost_its_disk_votes_again(
+    controllers: Controllers,
+) -> None:
+    assert await controllers.put(HOSTS[0], 5)
+    await controllers.kill(HOSTS[2])
+    shutil.rmtree(controllers.folder / HOSTS[2])
+    await controllers.start(HOSTS[2], first=False)
+
+    async def votes() -> bool:
+        # By its new folder: the log also holds the vote it had with the lost one.
+        return controllers.roles[HOSTS[2]].replica.core.is_voter
+
+    await until(votes)
+    await controllers.kill(HOSTS[0])
+
+    async def reads_it() -> bool:
+        return await controllers.read(HOSTS[2]) == 5
+
+    await until(reads_it)
+
+
+async def test_new_controller_takes_the_vote_of_one_that_is_gone(
+    controllers: Controllers,
+) -> None:
+    assert await controllers.put(HOSTS[0], 5)
+    await controllers.kill(HOSTS[1])
+    await controllers.start(SPARE, first=False)
+
+    async def votes() -> bool:
+        return SPARE in controllers.list_voters(HOSTS[0])
+
+    await until(votes)
+    assert await controllers.put(SPARE, 6)
+
+
+async def test_empty_controllers_that_are_not_the_first_begin_nothing(
+    tmp_path: Path,
+) -> None:
+    group = Controllers(tmp_path)
+    for host in HOSTS:
+        await group.start(host, first=False)
+    await asyncio.sleep(1.5)
+    assert await group.read(HOSTS[0]) is None
+    assert group.roles[HOSTS[0]].replica.core.is_fresh
+    for host in HOSTS:
+        await group.kill(host)
--- a/tests/forwarding/test_roster.py
+++ b/tests/forwarding/test_roster.py
@@ -120,6 +120,14 @@
     assert len(net.member.roster.agents) == 5
 
 
+def test_first_controller_heard_is_asked_for_its_roster_at_once() -> None:
+    net = Net()
+    for number in range(3):
+        net.announce(make_agent(number))
+    net.step()
+    assert len(net.member.roster.agents) == 3
+
+
 def test_older_announcement_changes_nothing() -> None:
     net = Net()
     join(net, 1)
--- a/tests/platform/test_header.py
+++ b/tests/platform/test_header.py
@@ -70,6 +70,12 @@
     assert tagged[29:] == data[29:]
 
 
+def test_request_id_is_read_from_the_head_of_a_request() -> None:
+    head = b"GET /seat HTTP/1.1\r\nHost: x\r\nATTEMPT-ID: a1b2\r\n\r\n"
+    assert CODEC.read_request_id(parse(make(2, head))) == "a1b2"
+    assert CODEC.read_request_id(parse(make(2, b"more of a body"))) == ""
+
+
 def test_reset_goes_back_with_the_last_acknowledgement() -> None:
     reset = CODEC.make_reset(parse(make(2, ack=12_345)))
     packet = parse(reset)
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,72 @@
+"""The HTTP server: whole requests, several on one connection, bad ones refused."""
+
+import asyncio
+
+import pytest
+
+from lentilfork.counters import Counters
+from lentilfork.exposition import answer_scrape
+from lentilfork.http_server import Request
+from lentilfork.http_server import Response
+from lentilfork.http_server import serve_http
+
+LOOPBACK = "127.0.0.1"
+
+
+async def echo(request: Request) -> Response:
+    if request.path == "/broken":
+        raise RuntimeError("broken")
+    return Response(200, request.body or b"{}", {"Path": request.path})
+
+
+async def talk(data: bytes, answers: int = 1) -> bytes:
+    """Return what a server sends back until it has answered so often or closed."""
+    server = await serve_http((LOOPBACK, 0), echo)
+    reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+    writer.write(data)
+    received = b""
+    async with asyncio.timeout(5):
+        while received.count(b"HTTP/1.1") < answers or b"\r\n\r\n" not in received:
+            part = await reader.read(65_536)
+            if not part:
+                break
+            received += part
+    writer.close()
+    server.close()
+    return received
+
+
+async def test_body_and_path_reach_the_handler() -> None:
+    answer = await talk(b"PUT /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody")
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert b"Path: /x" in answer
+    assert answer.endswith(b"body")
+
+
+async def test_connection_serves_several_requests() -> None:
+    one = b"GET /y HTTP/1.1\r\nHost: a\r\n\r\n"
+    assert (await talk(one + one, 2)).count(b"HTTP/1.1 200") == 2
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", b"HTTP/1.1 400"),
+        (b"GET /broken HTTP/1.1\r\nHost: a\r\n\r\n", b"HTTP/1.1 500"),
+    ],
+)
+async def test_bad_requests_and_handlers_are_answered(
+    data: bytes, status: bytes
+) -> None:
+    assert (await talk(data)).startswith(status)
+
+
+async def test_scrape_has_counters_and_histograms() -> None:
+    counters = Counters()
+    counters.add("flows_refused", "late", 3)
+    counters.observe("answer_time", 0.03)
+    response = await answer_scrape(counters, 7, Request("GET", "/metrics", b""))
+    text = response.body.decode()
+    assert 'lentilfork_events_total{event="flows_refused",reason="late"} 3.0' in text
+    assert 'lentilfork_answer_time_seconds_bucket{le="0.05"} 1.0' in text
+    assert "lentilfork_generation 7.0" in text
