Bound what a compacted log keeps by bytes

Ruled out: a seen failure; found by reading before storms of large tables.

The test puts forty tables of 100 kB: 4 MB were kept before, by the old rule.

--- a/src/lentilfork/agreement/log.py
+++ b/src/lentilfork/agreement/log.py
@@ -19,6 +19,9 @@
 
 # Entries kept before a snapshot, so that a follower a little behind needs none.
 TRAILING_ENTRIES: Final = 512
+# Well below the size at which a log is compacted, which large entries would else
+# still exceed right after it.
+TRAILING_BYTES: Final = 1024 * 1024
 
 
 class Log:
@@ -166,7 +169,7 @@
     async def compact(self, snapshot: agreement_pb2.StoredSnapshot) -> None:
         """Keep a snapshot and drop the entries well before it."""
         async with self.write_lock:
-            base = max(self.base_index, snapshot.last_index - TRAILING_ENTRIES)
+            base = self.find_trailing_base(snapshot.last_index)
             term = self.get_term(base)
             if term is None:
                 return
@@ -174,6 +177,18 @@
             self.base_index, self.base_term = base, term
             await self.rewrite(snapshot)
 
+    def find_trailing_base(self, last_index: int) -> int:
+        """Return the index after which entries are kept before a snapshot."""
+        base = max(last_index, self.base_index)
+        lowest = max(self.base_index, last_index - TRAILING_ENTRIES)
+        kept_bytes = 0
+        while base > lowest:
+            kept_bytes += self.entries[base - self.base_index - 1].ByteSize()
+            if kept_bytes > TRAILING_BYTES:
+                break
+            base -= 1
+        return base
+
     async def install(self, snapshot: agreement_pb2.StoredSnapshot) -> None:
         """Keep a leader's snapshot; entries that contradict it are dropped."""
         async with self.write_lock:
--- a/tests/agreement/test_reads.py
+++ b/tests/agreement/test_reads.py
@@ -5,6 +5,7 @@
 import pytest
 from result import Ok
 
+from lentilfork.agreement.log import TRAILING_BYTES
 from lentilfork.schema import state_pb2
 from tests.agreement.cluster import Cluster
 
@@ -74,3 +75,16 @@
     cluster.crash(name)
     cluster.start(name)
     assert cluster.replicas[name].state.route_table.version == 7
+
+
+def test_log_of_large_tables_is_short_after_a_snapshot(cluster: Cluster) -> None:
+    for version in range(1, 41):
+        table = state_pb2.RouteTable(version=version, source=b"x" * 100_000)
+        change = state_pb2.Change(change_id=f"large-{version}", put_route_table=table)
+        task = cluster.propose("c0", change)
+        cluster.run_until(task.done)
+    replica = cluster.get_leader()
+    cluster.loop.run_until_complete(replica.write_snapshot())
+    entries = replica.core.log.entries
+    assert 0 < sum(entry.ByteSize() for entry in entries) <= TRAILING_BYTES
+    assert replica.core.storage.log_bytes <= 2 * TRAILING_BYTES
