Leave sooner once routers have taken a balancer out

Of a data centre's two balancers one was still away when the next, 1.2 s later in the series, turned unready; routers then use all, also the one away.

Ruled out: agents (none restarted), the core (unstable, but not on the way).

Change: a leaving balancer forwards for 1.15 s instead of 1.8 s: two missed checks take 1 s. The test drains one with its sockets and failed first on the bound.

--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -131,10 +131,10 @@
         flow = self.book.find(make_caller_key(packet))
         if flow is None:
             if now >= self.knows_all_since:
-                self.pass_on(packet, envelope, now)
+                self.pass_on(packet, envelope)
                 return
         elif not flow.matches(packet.acknowledgement):
-            self.pass_on(packet, envelope, now)
+            self.pass_on(packet, envelope)
             return
         else:
             self.book.touch(flow, now)
@@ -157,7 +157,7 @@
         self.counters.add("packets_delivered")
         self.send_to_server(self.codec.write_tag(packet.data, hops))
 
-    def pass_on(self, packet: FlowPacket, envelope: Envelope, now: float) -> None:
+    def pass_on(self, packet: FlowPacket, envelope: Envelope) -> None:
         """Ask the next agent for a flow that is not here."""
         agents = [
             agent
@@ -264,7 +264,7 @@
         elif flow is not None and flow.sequence is not None:
             self.reset_lost(flow, returned)
         else:
-            self.pass_on(returned, envelope, now)
+            self.pass_on(returned, envelope)
 
     def reset_all(self, reason: str) -> None:
         """Tell callers that all flows of the backend server have ended."""
--- a/src/lentilfork/forwarding/processes.py
+++ b/src/lentilfork/forwarding/processes.py
@@ -47,8 +47,9 @@
 AGENT_TICK_S: Final = 0.005
 DECISION_INTERVAL_S: Final = 1.0
 # Routers take a balancer out after two missed checks at two a second; packets go
-# on arriving until then.
-ROTATION_LEAVE_S: Final = 1.8
+# on arriving until then. Each further moment delays the return of this balancer,
+# which the next one in a planned series may be waiting for.
+ROTATION_LEAVE_S: Final = 1.15
 POLL_INTERVAL_S: Final = 0.05
 # Left of the time to stop in when running flows are given up.
 STOP_MARGIN_S: Final = 0.8
--- /dev/null
+++ b/tests/forwarding/test_processes.py
@@ -0,0 +1,80 @@
+"""A balancer with its sockets: what it does between the signal to stop and its end."""
+
+import asyncio
+import socket
+
+from result import Ok
+
+from lentilfork.forwarding.envelopes import decode_envelope
+from lentilfork.forwarding.processes import ROTATION_LEAVE_S
+from lentilfork.forwarding.processes import FlowBalancerRole
+from lentilfork.forwarding.roster import AgentRecord
+from lentilfork.forwarding.settings import FlowBalancerSettings
+from lentilfork.platform.header import HeaderCodec
+from lentilfork.schema import state_pb2
+from tests.forwarding.simulation import ADDRESS
+from tests.forwarding.simulation import PORT
+from tests.forwarding.simulation import SERVICE
+from tests.forwarding.simulation import make_packet
+
+LOOPBACK = "127.0.0.1"
+# Two checks, half a second apart, have to be missed.
+ROTATION_S = 1.0
+# Within the time that a planned series leaves between two balancers.
+SERIES_GAP_S = 1.2
+WAIT_S = 5.0
+
+
+def bind() -> socket.socket:
+    bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    bound.bind((LOOPBACK, 0))
+    bound.setblocking(False)
+    return bound
+
+
+def pick_address() -> tuple[str, int]:
+    with bind() as probe:
+        name: tuple[str, int] = probe.getsockname()
+        return name
+
+
+def make_role(agent: tuple[str, int]) -> FlowBalancerRole:
+    settings = FlowBalancerSettings(
+        "balancer-1",
+        "north",
+        pick_address(),
+        (pick_address(),),
+        9,
+        pick_address(),
+    )
+    role = FlowBalancerRole(settings, HeaderCodec())
+    role.roster.replace(
+        [AgentRecord("agent-1", 1, 1, agent, SERVICE, "north", 1, True, False)]
+    )
+    target = state_pb2.Target(service=SERVICE, weight=1)
+    route = state_pb2.Route(address=ADDRESS, port=PORT, targets=[target])
+    role.membership.take_table(state_pb2.RouteTable(version=1, routes=[route]))
+    role.membership.epoch = 1
+    role.take_table()
+    return role
+
+
+async def test_leaving_balancer_forwards_until_routers_have_taken_it_out() -> None:
+    with bind() as agent, bind() as router:
+        role = make_role(agent.getsockname())
+        assert await role.start() == Ok(None)
+        assert role.is_ready
+        draining = asyncio.create_task(role.drain())
+        assert ROTATION_S < ROTATION_LEAVE_S < SERIES_GAP_S
+        await asyncio.sleep(ROTATION_S)
+        assert not role.is_ready
+        assert not draining.done()
+        syn = make_packet((5, 5), (ADDRESS, PORT), 4)
+        router.sendto(syn, role.settings.packet_address)
+        async with asyncio.timeout(WAIT_S):
+            data = await asyncio.get_running_loop().sock_recv(agent, 2000)
+        envelope = decode_envelope(data)
+        assert envelope is not None
+        assert envelope.data == syn
+        await draining
+        await role.stop()
