Drop an unused method of the roster

Cause: found in a read of the change as a newcomer. Change: Roster.list_ingresses is gone; nothing called it.

--- a/src/lentilfork/forwarding/roster.py
+++ b/src/lentilfork/forwarding/roster.py
@@ -140,7 +140,3 @@
             )
             self.ranked[service, ingress, bucket] = found
         return found
-
-    def list_ingresses(self) -> set[int]:
-        """Return the identifiers of the data centres with agents."""
-        return {hash_name(agent.data_centre) for agent in self.agents.values()}
