Bound connection attempts between controllers of forwarded flows alone

Change: the bound is an option of the channels, set by the controller of forwarded flows alone; other processes have the library's again.

Before: planned change of the guild failed at set-up.

--- a/src/lentilfork/channels.py
+++ b/src/lentilfork/channels.py
@@ -37,8 +37,6 @@
 KEEPALIVE_TIME_MS: Final = 2_000
 KEEPALIVE_TIMEOUT_MS: Final = 2_000
 RECONNECT_BACKOFF_MS: Final = 500
-# The library's own minimum of 20 s outlasts any cut of a few seconds.
-CONNECT_TIMEOUT_MS: Final = 500
 # How often the certificate files are looked at, at the most.
 CHECK_INTERVAL_S: Final = 1.0
 # Calls on channels with replaced certificates may go on for this long.
@@ -54,7 +52,6 @@
     ("grpc.keepalive_time_ms", KEEPALIVE_TIME_MS),
     ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
     ("grpc.initial_reconnect_backoff_ms", 100),
-    ("grpc.min_reconnect_backoff_ms", CONNECT_TIMEOUT_MS),
     ("grpc.max_reconnect_backoff_ms", RECONNECT_BACKOFF_MS),
     ("grpc.enable_http_proxy", 0),
     ("grpc.use_local_subchannel_pool", 1),
@@ -66,12 +63,21 @@
 )
 
 
+def make_connect_options(timeout_ms: int | None) -> tuple[tuple[str, int], ...]:
+    """Return the option that bounds an attempt to connect; None: the library's 20 s."""
+    if timeout_ms is None:
+        return ()
+    return (("grpc.min_reconnect_backoff_ms", timeout_ms),)
+
+
 class Channels:
     """The gRPC connections of one process."""
 
     # None: plain text.
     tls: "TlsSettings | None"
     counters: Counters
+    # Of new channels.
+    options: tuple[tuple[str, int], ...]
     # Open channels by "ip:port".
     open: dict[str, grpc.aio.Channel]
     # Channels with replaced certificates, each with the time to close it at.
@@ -85,9 +91,16 @@
     watch: "asyncio.Task[None] | None"
 
     def __init__(
-        self, tls: "TlsSettings | None" = None, counters: Counters | None = None
+        self,
+        tls: "TlsSettings | None" = None,
+        counters: Counters | None = None,
+        connect_timeout_ms: int | None = None,
     ) -> None:
         self.tls = tls
+        self.options = (
+            *CHANNEL_OPTIONS,
+            *make_connect_options(connect_timeout_ms),
+        )
         self.counters = counters or Counters()
         self.open = {}
         self.retired = deque()
@@ -153,12 +166,12 @@
     def make_channel(self, address: str) -> grpc.aio.Channel:
         """Return a new channel to a peer."""
         if self.tls is None:
-            return grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
+            return grpc.aio.insecure_channel(address, options=self.options)
         held = self.use_certificates()
         credentials = grpc.ssl_channel_credentials(
             held.authority, held.key, held.certificate
         )
-        return grpc.aio.secure_channel(address, credentials, options=CHANNEL_OPTIONS)
+        return grpc.aio.secure_channel(address, credentials, options=self.options)
 
     def make_server(self, address: str) -> grpc.aio.Server:
         """Return a server bound to `address`; raises RuntimeError if it is in use."""
--- a/src/lentilfork/forwarding/controller.py
+++ b/src/lentilfork/forwarding/controller.py
@@ -46,6 +46,9 @@
 SocketName = tuple[str, int]
 SWEEP_INTERVAL_S: Final = 0.1
 SERVER_GRACE_S: Final = 0.3
+# Attempts to reach a controller behind a cut hang; the library's own 20 s outlast
+# cuts of a few seconds, and data centres are a few milliseconds apart.
+CONNECT_TIMEOUT_MS: Final = 500
 STEP: Final = "start controller"
 
 log = Logger("controller")
@@ -124,7 +127,7 @@
     def __init__(self, settings: FlowControllerSettings) -> None:
         self.settings = settings
         self.counters = Counters()
-        self.channels = Channels(None, self.counters)
+        self.channels = Channels(None, self.counters, CONNECT_TIMEOUT_MS)
         self.replica = Replica(
             make_settings(settings), self.channels, self.counters, random.Random()
         )
