Use every free slot and every known route right after a common restart

Callers' SYNs had been dropped by balancers without a roster; the first agent that heard its server got everything; under the pressure of refusals the admitted queue fell below the time of one cold request, so idle servers were refused work; new agents assumed 20 ms a request for long, and took the warm-up twice into account.

Ruled out: processor load of the machine (the same start times with nothing beside it), the site module (python3 -S: no change), compiled files (they are there).

Change: a free slot is never refused; service times are learnt from the first answers and without the warm-up factor; a balancer holds SYNs until it has routes and agents; a new agent connects to its server and counts it as ready for 1.5 intervals if it listens. Admission is a module of its own.

Tests fail before: cold servers kept busy, learning, warm-up.

--- a/src/lentilfork/forwarding/agent.py
+++ b/src/lentilfork/forwarding/agent.py
@@ -19,6 +19,7 @@
 from lentilfork.forwarding.envelopes import decode_envelope
 from lentilfork.forwarding.envelopes import decode_note
 from lentilfork.forwarding.flows import FlowBook
+from lentilfork.forwarding.loads import FULL_PERCENT
 from lentilfork.forwarding.loads import US_PER_S
 from lentilfork.forwarding.loads import LoadBook
 from lentilfork.forwarding.ownership import FlowOwner
@@ -228,6 +229,7 @@
         """Run what is due; called every few milliseconds."""
         self.owner.offer_again(now)
         self.book.settle_unused(now)
+        self.book.slowness = 1 + self.server.get_slow_percent(now) / FULL_PERCENT
         self.update_record(now)
         self.report_if_due(now)
         if now - self.forgot_at >= FORGET_INTERVAL_S:
--- a/src/lentilfork/forwarding/backend_server.py
+++ b/src/lentilfork/forwarding/backend_server.py
@@ -16,6 +16,9 @@
 # Announcements in a row that may be missed before the backend server counts as
 # gone; its answers to callers keep it alive as well.
 MISSED_INTERVALS: Final = 3.5
+# Intervals for which a backend server that took a connection counts as ready: it
+# announces itself within one of them, if it goes on.
+TRUSTED_INTERVALS: Final = 1.5
 MS_PER_S: Final = 1_000
 # How much longer requests take at first, where only the remaining time is told.
 WARM_UP_SLOWNESS: Final = 1.7
@@ -56,6 +59,8 @@
     interval_s: float
     latest: ServerAnnouncement | None
     heard_at: float
+    # Until then it is taken to be there without an announcement.
+    trusted_until: float
     # Ids that said they leave; a late announcement does not bring them back.
     gone: set[tuple[str, int]]
 
@@ -64,6 +69,7 @@
         self.interval_s = interval_s
         self.latest = None
         self.heard_at = float("-inf")
+        self.trusted_until = float("-inf")
         self.gone = set()
 
     def take(self, announcement: ServerAnnouncement, now: float) -> bool:
@@ -130,9 +136,15 @@
             0,
         )
 
+    def trust(self, now: float) -> None:
+        """Note that it took a connection, though it has not announced itself yet."""
+        self.trusted_until = now + TRUSTED_INTERVALS * self.interval_s
+
     def is_accepting(self, now: float) -> bool:
-        """Tell whether it takes new flows as far as it said."""
-        if self.latest is None or self.latest.state is not ServerState.READY:
+        """Tell whether it takes new flows as far as is known."""
+        if self.latest is None:
+            return now < self.trusted_until
+        if self.latest.state is not ServerState.READY:
             return False
         return now - self.heard_at <= MISSED_INTERVALS * self.interval_s
 
--- a/src/lentilfork/forwarding/balancer.py
+++ b/src/lentilfork/forwarding/balancer.py
@@ -1,9 +1,11 @@
 """What a balancer does with a caller's packet: find the route, then the owner.
 
 A balancer keeps nothing for a flow, so any balancer can take any packet. Copies of
-a SYN go to the next owners in order: the first one may be down.
+a SYN go to the next owners in order: the first one may be down. Only a balancer that
+does not know the routes or the agents yet keeps SYNs, until it does.
 """
 
+from collections import OrderedDict
 from collections.abc import Callable
 from typing import Final
 
@@ -28,8 +30,12 @@
 # A table confirmed by a controller within this time tells that a route is absent.
 FRESH_TABLE_S: Final = 1.0
 # Agents that started with this process have announced themselves by then; until
-# then a SYN waits for its copies instead of being refused.
+# then a SYN is held instead of being refused.
 SETTLE_S: Final = 2.0
+# A caller gives its SYN up 1.4 s after it sent it.
+HOLD_S: Final = 1.3
+# A second of heavy load at one balancer.
+MAXIMUM_HELD: Final = 1024
 
 
 class FlowBalancer:
@@ -43,6 +49,8 @@
     # When a whole roster was first taken; infinite before.
     synced_at: float
     ingress: int
+    # SYNs that came too early, with the time of the first copy, oldest first.
+    held: OrderedDict[bytes, tuple[bytes, float]]
     counters: Counters
     decisions: DecisionLog
     # Sends a datagram to an agent, and a packet to the caller at an address.
@@ -63,6 +71,7 @@
         self.confirmed_at = float("-inf")
         self.synced_at = float("inf")
         self.ingress = hash_name(data_centre)
+        self.held = OrderedDict()
         self.counters = counters
         self.decisions = decisions
 
@@ -80,6 +89,9 @@
 
     def refuse_unrouted(self, packet: FlowPacket, now: float) -> None:
         """Reset a flow without a route, if the table is known to be the newest."""
+        if self.routes.version == 0:
+            self.hold(packet, now)
+            return
         fresh = now - self.confirmed_at <= FRESH_TABLE_S
         if not fresh or packet.flags & PacketFlags.RST:
             self.counters.add("packets_dropped", "no_route")
@@ -95,14 +107,7 @@
         service = hash_name(route.choose_service(find_bucket(key)))
         owners = self.roster.rank_owners(service, self.ingress, key)
         if not owners:
-            self.counters.add("packets_dropped", "no_agent")
-            settled = now - self.synced_at >= SETTLE_S
-            if settled and packet.is_opening and packet.acknowledgement == 0:
-                self.counters.add("flows_reset", "no_agent")
-                self.decisions.write(
-                    "reset", key, "no agent", route=self.routes.version
-                )
-                self.send_to_caller(self.codec.make_reset(packet), packet.source)
+            self.refuse_without_agent(packet, now)
             return
         rank = packet.acknowledgement if packet.is_opening else 0
         owner = owners[rank % len(owners)]
@@ -118,3 +123,37 @@
         )
         self.counters.add("packets_forwarded")
         self.send(encode_envelope(envelope), owner.address)
+
+    def refuse_without_agent(self, packet: FlowPacket, now: float) -> None:
+        """Reset a new flow of a service without agents, unless some may be coming."""
+        if now - self.synced_at < SETTLE_S or self.synced_at == float("inf"):
+            self.hold(packet, now)
+            return
+        self.counters.add("packets_dropped", "no_agent")
+        if packet.is_opening and packet.acknowledgement == 0:
+            self.counters.add("flows_reset", "no_agent")
+            key = make_caller_key(packet)
+            self.decisions.write("reset", key, "no agent", route=self.routes.version)
+            self.send_to_caller(self.codec.make_reset(packet), packet.source)
+
+    def hold(self, packet: FlowPacket, now: float) -> None:
+        """Keep a SYN until the routes and the agents are known; drop anything else."""
+        if not packet.is_opening:
+            self.counters.add("packets_dropped", "not_synced")
+            return
+        self.held.setdefault(make_caller_key(packet), (packet.data, now))
+        if len(self.held) > MAXIMUM_HELD:
+            self.held.popitem(last=False)
+            self.counters.add("packets_dropped", "held_too_many")
+
+    def forward_held(self, now: float) -> None:
+        """Forward what was held; what still lacks an agent is held again."""
+        held, self.held = self.held, OrderedDict()
+        for key, (data, since) in held.items():
+            if now - since > HOLD_S:
+                self.counters.add("packets_dropped", "held_too_long")
+            else:
+                self.counters.add("packets_held")
+                self.take_packet(data, now)
+                if key in self.held:
+                    self.held[key] = data, since
--- a/src/lentilfork/forwarding/flows.py
+++ b/src/lentilfork/forwarding/flows.py
@@ -77,8 +77,11 @@
     outstanding: int
     # Requests handed over and not answered.
     running: int
-    # Smoothed time that one request takes in its slot.
+    # Smoothed time that one request takes in its slot, once warm, and from how many.
     service_time_s: float
+    samples: int
+    # Factor on the service time while the backend server warms up.
+    slowness: float
 
     def __init__(self, slots: int) -> None:
         self.flows = OrderedDict()
@@ -87,6 +90,8 @@
         self.outstanding = 0
         self.running = 0
         self.service_time_s = DEFAULT_SERVICE_TIME_S
+        self.samples = 0
+        self.slowness = 1.0
 
     def find(self, key: bytes) -> Flow | None:
         """Return a flow, None if it is not known."""
@@ -134,8 +139,11 @@
         if flow.requested_at is not None:
             taken = now - flow.requested_at
             queued = max(flow.running / self.slots, 1.0)
-            sample = max(taken / queued, MINIMUM_SERVICE_TIME_S)
-            self.service_time_s += SMOOTHING * (sample - self.service_time_s)
+            sample = max(taken / queued / self.slowness, MINIMUM_SERVICE_TIME_S)
+            self.samples += 1
+            # The default counts as one sample, so that the first ones weigh more.
+            weight = max(SMOOTHING, 1 / (self.samples + 1))
+            self.service_time_s += weight * (sample - self.service_time_s)
         self.settle(flow)
         return taken
 
--- a/src/lentilfork/forwarding/loads.py
+++ b/src/lentilfork/forwarding/loads.py
@@ -11,7 +11,7 @@
 from lentilfork.forwarding.flows import DEFAULT_SERVICE_TIME_S
 from lentilfork.schema import roster_pb2
 
-__all__ = ["LoadBook", "PeerLoad"]
+__all__ = ["FULL_PERCENT", "US_PER_S", "LoadBook", "PeerLoad"]
 
 US_PER_S: Final = 1_000_000
 FULL_PERCENT: Final = 100
@@ -41,10 +41,19 @@
     unanswered: int = 0
     avoided_until: float = 0.0
 
+    @property
+    def ahead(self) -> int:
+        """Work that a new request would find there."""
+        return self.outstanding + self.placed
+
+    @property
+    def has_free_slot(self) -> bool:
+        """Whether a new request would run at once."""
+        return self.ahead < self.slots
+
     def estimate_s(self) -> float:
         """Return the time after which a new request would be answered."""
-        ahead = self.outstanding + self.placed
-        queued = max(ahead + 1 - self.slots, 0) / self.slots
+        queued = max(self.ahead + 1 - self.slots, 0) / self.slots
         return self.service_time_s * self.slowness * (1 + queued)
 
 
--- a/src/lentilfork/forwarding/ownership.py
+++ b/src/lentilfork/forwarding/ownership.py
@@ -15,6 +15,8 @@
 
 from lentilfork.counters import Counters
 from lentilfork.directory import Directory
+from lentilfork.forwarding.admission import MS_PER_S
+from lentilfork.forwarding.admission import Admission
 from lentilfork.forwarding.decisions import DecisionLog
 from lentilfork.forwarding.envelopes import Envelope
 from lentilfork.forwarding.envelopes import Kind
@@ -38,15 +40,6 @@
 MAXIMUM_OFFERS: Final = 3
 # Agents that pass a rejected SYN on before the caller is told.
 MAXIMUM_SYN_HOPS: Final = 4
-MS_PER_S: Final = 1_000
-# Part of a route's target that work and waiting may take; the rest is for the way
-# and for what the estimate does not see.
-ADMITTED_SHARE: Final = 0.7
-PRIORITY_STEP: Final = 0.1
-MINIMUM_ADMITTED_SHARE: Final = 0.4
-PRESSURE_WEIGHT: Final = 0.6
-# Weight of one flow in the share refused lately; some fifty flows make it up.
-PRESSURE_SMOOTHING: Final = 0.02
 
 
 @dataclass(slots=True)
@@ -71,8 +64,7 @@
     directory: Directory
     # Oldest first, by flow.
     offers: OrderedDict[bytes, Offer]
-    # Share of new flows refused lately.
-    pressure: float
+    admission: Admission
     counters: Counters
     decisions: DecisionLog
     send: Callable[[bytes, SocketName], None]
@@ -96,7 +88,7 @@
         self.loads = loads
         self.directory = Directory(idle_timeout_s)
         self.offers = OrderedDict()
-        self.pressure = 0.0
+        self.admission = Admission()
         self.counters = counters
         self.decisions = decisions
 
@@ -141,15 +133,12 @@
         if choice.agent is None:
             self.refuse(packet, "no agent takes new flows")
             return
-        limit_ms = get_admission_limit_ms(envelope, self.pressure)
-        late = choice.expected_s * MS_PER_S > limit_ms
-        self.pressure += PRESSURE_SMOOTHING * (late - self.pressure)
-        if late:
+        if not self.admission.admit(envelope, choice):
             self.refuse(
                 packet,
                 "answer expected too late",
                 expected_ms=round(choice.expected_s * MS_PER_S),
-                limit_ms=round(limit_ms),
+                limit_ms=round(self.admission.get_limit_ms(envelope)),
                 priority=envelope.priority,
             )
             return
@@ -238,20 +227,3 @@
             offer.sent_at = now
             self.offers[key] = offer
             self.offer(choice, offer.envelope, offer.packet, now)
-
-
-def get_admission_limit_ms(envelope: Envelope, pressure: float) -> float:
-    """Return how late an answer may be expected for a new flow to be taken.
-
-    Work that would miss its target makes what comes after it miss as well, so a
-    queue longer than the target serves nobody in time. What is less urgent gives
-    way earlier, so that the rest of the queue is left to what is more urgent. Under
-    `pressure`, the share of flows refused lately, the queue is kept shorter still:
-    it is never empty then, and a long one only makes answers late.
-    """
-    share = max(
-        ADMITTED_SHARE - PRIORITY_STEP * envelope.priority, MINIMUM_ADMITTED_SHARE
-    )
-    share *= 1 - PRESSURE_WEIGHT * pressure
-    limit_ms = envelope.target_ms * share
-    return min(limit_ms, envelope.deadline_ms) if limit_ms else envelope.deadline_ms
--- a/src/lentilfork/forwarding/placement.py
+++ b/src/lentilfork/forwarding/placement.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Collection
+from collections.abc import Iterable
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Final
@@ -29,6 +30,8 @@
     agent: AgentRecord | None
     # Time to the answer as expected; 0 without an agent.
     expected_s: float
+    # A slot is free there.
+    at_once: bool = False
 
 
 def choose_agent(
@@ -46,12 +49,21 @@
     candidates = [agent for agent in ranked if agent.name not in excluded]
     available = [agent for agent in candidates if agent.is_available]
     usable = [agent for agent in available if loads.is_usable(agent.name, now)]
+    present = [agent for agent in candidates if not agent.lost and not agent.leaving]
+    return find_earliest(usable or available or present, loads, ingress)
+
+
+def find_earliest(
+    agents: Iterable[AgentRecord], loads: LoadBook, ingress: int
+) -> Choice:
+    """Return the agent whose answer is expected first."""
     chosen: AgentRecord | None = None
     best_s = float("inf")
-    present = [agent for agent in candidates if not agent.lost and not agent.leaving]
-    for agent in usable or available or present:
+    for agent in agents:
         far = hash_name(agent.data_centre) != ingress
         cost_s = loads.find(agent.name).estimate_s() + far * DISTANCE_COST_S
         if cost_s < best_s:
             chosen, best_s = agent, cost_s
-    return Choice(chosen, best_s if chosen else 0.0)
+    if chosen is None:
+        return Choice(None, 0.0)
+    return Choice(chosen, best_s, loads.find(chosen.name).has_free_slot)
--- a/src/lentilfork/forwarding/processes.py
+++ b/src/lentilfork/forwarding/processes.py
@@ -51,6 +51,11 @@
 # which the next one in a planned series may be waiting for.
 ROTATION_LEAVE_S: Final = 1.15
 POLL_INTERVAL_S: Final = 0.05
+# The backend server is on the same host; a start of its own takes longer than this.
+SERVER_CONNECT_TIMEOUT_S: Final = 0.5
+# Members that look for a controller announce themselves to it within 80 ms, so that
+# the roster has most agents by then.
+HOLD_AFTER_CHANGE_S: Final = 0.1
 # Left of the time to stop in when running flows are given up.
 STOP_MARGIN_S: Final = 0.8
 CACHED_ADDRESSES: Final = 65_536
@@ -158,11 +163,14 @@
         self.membership.take_update(update, sender, now)
         self.fetcher.start_if_needed(now)
 
-    def run_task(self, work: Coroutine[Any, Any, None], name: str) -> None:
-        """Start a task that runs until the process stops."""
+    def run_task(
+        self, work: Coroutine[Any, Any, None], name: str
+    ) -> "asyncio.Task[None]":
+        """Start a task that runs until the process stops at the latest."""
         task = asyncio.create_task(work, name=name)
         task.add_done_callback(report_task)
         self.tasks.append(task)
+        return task
 
     async def announce(self) -> None:
         """Announce this process for as long as it runs."""
@@ -213,6 +221,7 @@
         self.balancer = FlowBalancer(
             codec, self.roster, settings.data_centre, self.counters, self.decisions
         )
+        self.roster.listeners.append(self.forward_held_soon)
 
     async def start(self) -> Result[None, Failure]:
         """Bind the sockets and start the tasks; a failure leaves nothing open."""
@@ -246,6 +255,15 @@
     def take_table(self) -> None:
         """Route by a newer table."""
         self.balancer.routes = self.membership.routes
+        self.forward_held_soon()
+
+    def forward_held_soon(self) -> None:
+        """Forward SYNs that came before the roster, once it is likely to be whole."""
+        if self.balancer.held:
+            asyncio.get_running_loop().call_later(
+                HOLD_AFTER_CHANGE_S,
+                lambda: self.balancer.forward_held(time.monotonic()),
+            )
 
     async def keep_decisions(self) -> None:
         """Allow log lines, and note whether the table is the newest."""
@@ -289,6 +307,8 @@
     agent: FlowAgent
     # Packets of the backend server.
     outbound: DatagramSocket
+    # Ends when it is known whether a backend server listens.
+    looking: "asyncio.Task[None]"
 
     def __init__(self, settings: FlowAgentSettings, codec: PacketCodec) -> None:
         super().__init__(settings)
@@ -350,8 +370,24 @@
         )
         self.run_task(self.announce(), "announce")
         self.run_task(self.run_timers(), "timers")
+        self.looking = self.run_task(self.look_for_server(), "look for server")
         return Ok(None)
 
+    async def look_for_server(self) -> None:
+        """Find out whether a backend server listens, before it announces itself.
+
+        After a common restart its next announcement may be more than a second away.
+        """
+        try:
+            async with asyncio.timeout(SERVER_CONNECT_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(*self.settings.server_address)
+        except (OSError, TimeoutError) as error:
+            log.info("no backend server yet", error=repr(error))
+            return
+        writer.close()
+        log.info("backend server listens")
+        self.agent.server.trust(time.monotonic())
+
     def take_announcement(self, announcement: ServerAnnouncement) -> None:
         """Take what the backend server says of itself."""
         self.agent.take_announcement(announcement, time.monotonic())
--- /dev/null
+++ b/tests/forwarding/test_admission.py
@@ -0,0 +1,44 @@
+"""Which flows are taken, by the queue they would find and what was refused lately."""
+
+from lentilfork.forwarding.admission import Admission
+from lentilfork.forwarding.envelopes import Envelope
+from lentilfork.forwarding.envelopes import Kind
+from lentilfork.forwarding.placement import Choice
+from lentilfork.forwarding.roster import AgentRecord
+
+TARGET_MS = 100
+AGENT = AgentRecord("agent-1", 1, 1, ("agent-1", 1), "chairs", "north", 1, True, False)
+
+
+def make_envelope(priority: int) -> Envelope:
+    return Envelope(Kind.ROUTE, 0, 1, 1, 1000, TARGET_MS, priority, b"")
+
+
+def press(admission: Admission) -> None:
+    """Have so many flows refused that hardly any queue is left."""
+    for _ in range(500):
+        admission.admit(make_envelope(2), Choice(AGENT, 9.9))
+
+
+def test_flow_expected_after_its_target_is_refused() -> None:
+    assert not Admission().admit(make_envelope(0), Choice(AGENT, 0.2))
+
+
+def test_urgent_flows_are_taken_into_a_longer_queue() -> None:
+    choice = Choice(AGENT, 0.06)
+    assert Admission().admit(make_envelope(0), choice)
+    assert not Admission().admit(make_envelope(2), choice)
+
+
+def test_queue_is_kept_shorter_while_many_are_refused() -> None:
+    admission = Admission()
+    choice = Choice(AGENT, 0.045)
+    assert admission.admit(make_envelope(2), choice)
+    press(admission)
+    assert not admission.admit(make_envelope(2), choice)
+
+
+def test_free_slot_is_never_refused_however_many_were() -> None:
+    admission = Admission()
+    press(admission)
+    assert admission.admit(make_envelope(2), Choice(AGENT, 0.3, at_once=True))
--- a/tests/forwarding/test_backend_server.py
+++ b/tests/forwarding/test_backend_server.py
@@ -69,3 +69,18 @@
     server.take(replace(FIRST, sequence=6, cold_left_ms=1500), 10.0)
     assert server.get_slow_percent(11.0) > 0
     assert server.get_slow_percent(12.0) == 0
+
+
+def test_server_that_takes_connections_is_trusted_until_it_should_have_spoken() -> None:
+    server = BackendServer("chairs", 1.0)
+    assert not server.is_accepting(10.0)
+    server.trust(10.0)
+    assert server.is_accepting(11.0)
+    assert not server.is_accepting(12.0)
+
+
+def test_what_a_server_says_goes_before_that_it_takes_connections() -> None:
+    server = BackendServer("chairs", 1.0)
+    server.trust(10.0)
+    server.take(replace(FIRST, state=ServerState.DRAINING), 10.1)
+    assert not server.is_accepting(10.2)
--- /dev/null
+++ b/tests/forwarding/test_balancer.py
@@ -0,0 +1,107 @@
+"""A balancer that does not know the routes or the agents yet keeps callers' SYNs."""
+
+from lentilfork.counters import Counters
+from lentilfork.forwarding.balancer import HOLD_S
+from lentilfork.forwarding.balancer import MAXIMUM_HELD
+from lentilfork.forwarding.balancer import SETTLE_S
+from lentilfork.forwarding.balancer import FlowBalancer
+from lentilfork.forwarding.decisions import DecisionLog
+from lentilfork.forwarding.roster import AgentRecord
+from lentilfork.forwarding.roster import Roster
+from lentilfork.forwarding.routes import index_routes
+from lentilfork.platform.header import HeaderCodec
+from lentilfork.schema import state_pb2
+from tests.forwarding.simulation import ADDRESS
+from tests.forwarding.simulation import PORT
+from tests.forwarding.simulation import SERVICE
+from tests.forwarding.simulation import make_packet
+
+SYN, ACK = 4, 2
+AGENT = AgentRecord("agent-1", 1, 1, ("agent-1", 1), SERVICE, "north", 1, True, False)
+TABLE = state_pb2.RouteTable(
+    version=1,
+    routes=[
+        state_pb2.Route(
+            address=ADDRESS,
+            port=PORT,
+            targets=[state_pb2.Target(service=SERVICE, weight=1)],
+        )
+    ],
+)
+
+
+class Sent:
+    """What a balancer sent, to agents and to callers."""
+
+    def __init__(self) -> None:
+        self.forwarded: list[bytes] = []
+        self.resets: list[bytes] = []
+
+
+def make_balancer() -> tuple[FlowBalancer, Sent]:
+    sent = Sent()
+    balancer = FlowBalancer(HeaderCodec(), Roster(), "north", Counters(), DecisionLog())
+    balancer.send = lambda data, _address: sent.forwarded.append(data)
+    balancer.send_to_caller = lambda data, _address: sent.resets.append(data)
+    return balancer, sent
+
+
+def make_opening(port: int, copies: int = 0) -> bytes:
+    return make_packet((9, port), (ADDRESS, PORT), SYN, 7, copies)
+
+
+def synchronize(balancer: FlowBalancer, now: float) -> None:
+    balancer.routes = index_routes(TABLE)
+    balancer.synced_at = now
+    balancer.roster.replace([AGENT])
+
+
+def test_syns_that_come_before_the_routes_are_forwarded_once_with_them() -> None:
+    balancer, sent = make_balancer()
+    balancer.take_packet(make_opening(1), 1.0)
+    balancer.take_packet(make_opening(1, copies=1), 1.2)
+    balancer.take_packet(make_opening(2), 1.3)
+    synchronize(balancer, 1.4)
+    balancer.forward_held(1.5)
+    balancer.forward_held(1.6)
+    assert len(sent.forwarded) == 2
+    assert sent.resets == []
+
+
+def test_syns_wait_for_agents_until_the_roster_has_settled() -> None:
+    balancer, sent = make_balancer()
+    synchronize(balancer, 1.0)
+    balancer.roster.replace([])
+    balancer.take_packet(make_opening(1), 1.1)
+    balancer.forward_held(1.2)
+    assert (sent.forwarded, sent.resets) == ([], [])
+    balancer.roster.replace([AGENT])
+    balancer.forward_held(1.3)
+    assert len(sent.forwarded) == 1
+    balancer.roster.replace([])
+    balancer.take_packet(make_opening(2), 1.1 + SETTLE_S)
+    assert len(sent.resets) == 1
+
+
+def test_syn_whose_caller_has_given_up_is_dropped() -> None:
+    balancer, sent = make_balancer()
+    balancer.take_packet(make_opening(1), 1.0)
+    balancer.forward_held(1.0 + HOLD_S / 2)
+    synchronize(balancer, 2.0)
+    balancer.forward_held(1.1 + HOLD_S)
+    assert sent.forwarded == []
+
+
+def test_packets_of_open_flows_are_not_held() -> None:
+    balancer, sent = make_balancer()
+    balancer.take_packet(make_packet((9, 1), (ADDRESS, PORT), ACK, 8, 5), 1.0)
+    synchronize(balancer, 1.1)
+    balancer.forward_held(1.2)
+    assert sent.forwarded == []
+
+
+def test_held_syns_are_bounded() -> None:
+    balancer, _ = make_balancer()
+    for port in range(MAXIMUM_HELD + 10):
+        balancer.take_packet(make_opening(port), 1.0)
+    assert len(balancer.held) == MAXIMUM_HELD
--- a/tests/forwarding/test_flows.py
+++ b/tests/forwarding/test_flows.py
@@ -38,6 +38,27 @@
     assert abs(book.service_time_s - 0.03) < 0.002
 
 
+def answer_some(book: FlowBook, number: int, taken_s: float) -> None:
+    """Answer requests one after the other."""
+    for _ in range(number):
+        book.take_request(book.offer(KEY, 0, 1.0), 1.0)
+        book.take_answer(book.offer(KEY, 0, 1.0), 1.0 + taken_s)
+        book.forget(KEY)
+
+
+def test_new_agent_learns_the_speed_of_its_server_from_a_few_answers() -> None:
+    book = FlowBook(1)
+    answer_some(book, 5, 0.05)
+    assert abs(book.service_time_s - 0.05) < 0.01
+
+
+def test_requests_of_a_warming_server_tell_its_later_speed() -> None:
+    book = FlowBook(1)
+    book.slowness = 1.7
+    answer_some(book, 100, 0.034)
+    assert abs(book.service_time_s - 0.02) < 0.001
+
+
 def test_flow_without_a_request_stops_counting() -> None:
     book = FlowBook(1)
     book.offer(KEY, 0, 1.0)
--- a/tests/forwarding/test_placement.py
+++ b/tests/forwarding/test_placement.py
@@ -87,6 +87,24 @@
     assert get_credit(after) >= GOODPUT_SHARE * get_ideal_credit(after)
 
 
+def test_cold_servers_are_kept_busy_while_callers_come_back() -> None:
+    world = World(SPEEDS)
+    slowness, cold_s = 1.6, 2.0
+
+    def restart() -> None:
+        for host in world.hosts.values():
+            host.cold_until = world.clock.now + cold_s
+            host.server.speed /= slowness
+            host.beat()
+
+    world.clock.call_at(1.0, restart)
+    # After an outage callers come back all at once.
+    world.add_load(3 * CAPACITY_PER_S, 1, 1 + cold_s)
+    world.clock.run(1 + cold_s)
+    busy_s = sum(host.server.busy_s for host in world.hosts.values())
+    assert busy_s >= GOODPUT_SHARE * len(SPEEDS) * cold_s
+
+
 def test_callers_of_one_data_centre_use_the_servers_of_all() -> None:
     world = World(SPEEDS)
     requests = world.add_load(0.7 * CAPACITY_PER_S, 1, 11, zones=ZONES[:1])
--- a/tests/forwarding/test_processes.py
+++ b/tests/forwarding/test_processes.py
@@ -1,14 +1,18 @@
-"""A balancer with its sockets: what it does between the signal to stop and its end."""
+"""Balancers and agents with their sockets, from the start to the signal to stop."""
 
 import asyncio
 import socket
+import time
 
+import pytest
 from result import Ok
 
 from lentilfork.forwarding.envelopes import decode_envelope
 from lentilfork.forwarding.processes import ROTATION_LEAVE_S
+from lentilfork.forwarding.processes import FlowAgentRole
 from lentilfork.forwarding.processes import FlowBalancerRole
 from lentilfork.forwarding.roster import AgentRecord
+from lentilfork.forwarding.settings import FlowAgentSettings
 from lentilfork.forwarding.settings import FlowBalancerSettings
 from lentilfork.platform.header import HeaderCodec
 from lentilfork.schema import state_pb2
@@ -59,6 +63,41 @@
     return role
 
 
+def make_agent_role(server: tuple[str, int]) -> FlowAgentRole:
+    settings = FlowAgentSettings(
+        "agent-1",
+        "north",
+        pick_address(),
+        (pick_address(),),
+        9,
+        SERVICE,
+        pick_address(),
+        server,
+        WAIT_S,
+        False,
+        1.0,
+    )
+    return FlowAgentRole(settings, HeaderCodec())
+
+
+@pytest.mark.parametrize("listens", [True, False])
+async def test_restarted_agent_offers_flows_to_a_server_that_listens(
+    listens: bool,
+) -> None:
+    with socket.create_server((LOOPBACK, 0)) as server:
+        address: tuple[str, int] = server.getsockname()
+        if not listens:
+            server.close()
+        role = make_agent_role(address)
+        assert isinstance(await role.start(), Ok)
+        try:
+            await asyncio.wait_for(role.looking, WAIT_S)
+            role.agent.tick(time.monotonic())
+            assert role.agent.record.accepting is listens
+        finally:
+            await role.stop()
+
+
 async def test_leaving_balancer_forwards_until_routers_have_taken_it_out() -> None:
     with bind() as agent, bind() as router:
         role = make_role(agent.getsockname())
