Pass by servers that fail requests while they say they are ready

Change: the agent sees status 500 and more, and resets, in its server's packets, tells their share with its load, and owners add a cost by it.

Not covered: requests that hang count as load only.

--- a/src/lentilfork/forwarding/agent.py
+++ b/src/lentilfork/forwarding/agent.py
@@ -18,6 +18,7 @@
 from lentilfork.forwarding.envelopes import Kind
 from lentilfork.forwarding.envelopes import decode_envelope
 from lentilfork.forwarding.envelopes import decode_note
+from lentilfork.forwarding.failures import FailureRate
 from lentilfork.forwarding.flows import FlowBook
 from lentilfork.forwarding.loads import FULL_PERCENT
 from lentilfork.forwarding.loads import US_PER_S
@@ -176,6 +177,7 @@
             # The former incarnation's flows ended with it.
             self.delivery.reset_all("backend server started anew")
             self.delivery.knows_all_since = now
+            self.delivery.failures = FailureRate()
         if self.server.latest is announcement:
             self.book.slots = announcement.slots
             self.delivery.unanswered = 0
@@ -266,6 +268,7 @@
             service_time_us=round(self.book.service_time_s * US_PER_S),
             accepting=self.record.accepting,
             slow_percent=self.server.get_slow_percent(now),
+            failed_percent=round(self.delivery.failures.get_share(now) * FULL_PERCENT),
         )
         self.loads.take_report(update, now)
         data = bytes((Kind.LOAD,)) + update.SerializeToString()
--- a/src/lentilfork/forwarding/decisions.py
+++ b/src/lentilfork/forwarding/decisions.py
@@ -17,7 +17,9 @@
 LINES_PER_S: Final = 40
 FAILURE_LINES_PER_S: Final = 60
 # Outcomes that a request may fail by.
-FAILURES: Final = frozenset({"reset", "refused", "lost", "dropped", "offered again"})
+FAILURES: Final = frozenset(
+    {"reset", "refused", "lost", "dropped", "offered again", "failed"}
+)
 OCTETS: Final = 4
 
 log = Logger("flows")
--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -15,8 +15,10 @@
 from lentilfork.forwarding.envelopes import Kind
 from lentilfork.forwarding.envelopes import encode_envelope
 from lentilfork.forwarding.envelopes import encode_note
+from lentilfork.forwarding.failures import FailureRate
 from lentilfork.forwarding.flows import Flow
 from lentilfork.forwarding.flows import FlowBook
+from lentilfork.forwarding.loads import FULL_PERCENT
 from lentilfork.forwarding.ownership import FlowOwner
 from lentilfork.forwarding.packets import KEY
 from lentilfork.forwarding.packets import FlowPacket
@@ -55,6 +57,7 @@
     knows_all_since: float
     counters: Counters
     decisions: DecisionLog
+    failures: FailureRate
     # SYNs handed over since the backend server last sent anything, and the first.
     unanswered: int
     unanswered_since: float
@@ -87,6 +90,7 @@
         self.accepting = False
         self.server_known = False
         self.knows_all_since = knows_all_since
+        self.failures = FailureRate()
         self.unanswered = 0
         self.unanswered_since = 0.0
 
@@ -203,6 +207,11 @@
             flow.sequence = packet.sequence
             flow.owner = ""
             self.confirm_offer(flow, now)
+        if flow.requested_at is not None:
+            broken = bool(packet.flags & PacketFlags.RST)
+            if broken or packet.payload_bytes:
+                failed = broken or self.codec.tells_failure(packet)
+                self.take_outcome(flow, now, failed=failed)
         if packet.payload_bytes:
             taken_s = self.book.take_answer(flow, now)
             if taken_s is not None:
@@ -212,6 +221,19 @@
         if not flow.owner:
             self.tell_owner(flow, now)
 
+    def take_outcome(self, flow: Flow, now: float, *, failed: bool) -> None:
+        """Note how a request ended at the backend server."""
+        self.failures.record(now, failed=failed)
+        if failed:
+            self.counters.add("requests_failed", "by_backend_server")
+            self.decisions.write(
+                "failed",
+                flow.key,
+                "the backend server did not serve it",
+                failed_percent=round(self.failures.get_share(now) * FULL_PERCENT),
+                running=self.book.running,
+            )
+
     def confirm_offer(self, flow: Flow, now: float) -> None:
         """Tell the agent that offered a flow here that it opened."""
         if flow.offered_by is None:
--- a/src/lentilfork/forwarding/loads.py
+++ b/src/lentilfork/forwarding/loads.py
@@ -34,6 +34,8 @@
     accepting: bool = True
     # Factor on the service time while the backend server warms up.
     slowness: float = 1.0
+    # Share of its requests that failed lately.
+    failed_share: float = 0.0
     heard_at: float | None = None
     # Flows placed there from here since the report.
     placed: int = 0
@@ -89,6 +91,7 @@
         load.service_time_s = report.service_time_us / US_PER_S
         load.accepting = report.accepting
         load.slowness = 1 + report.slow_percent / FULL_PERCENT
+        load.failed_share = report.failed_percent / FULL_PERCENT
         load.heard_at = now
         load.placed = 0
 
--- a/src/lentilfork/forwarding/placement.py
+++ b/src/lentilfork/forwarding/placement.py
@@ -22,6 +22,9 @@
 # What the way to another data centre costs in the estimate: it decides between
 # agents whose answers are expected at about the same time.
 DISTANCE_COST_S: Final = 0.003
+# What a failed request costs: a try of three, and often the request. At a tenth of
+# failures a server is passed by until the others have a queue of some requests.
+FAILURE_COST_S: Final = 0.5
 # Agents compared for one flow, the first ones in rendezvous order: those of its data
 # centre come first, and some of others take what a data centre has too much of.
 NEAR_AGENTS: Final = 3
@@ -82,12 +85,14 @@
 ) -> Choice:
     """Return the agent whose answer is expected first."""
     chosen: AgentRecord | None = None
-    best_s = float("inf")
+    best_s, expected_s = float("inf"), 0.0
     for agent in agents:
-        cost_s = loads.find(agent.name).estimate_s()
+        load = loads.find(agent.name)
+        cost_s = load.estimate_s()
         cost_s += is_far(agent, ingress) * DISTANCE_COST_S
+        cost_s += load.failed_share * FAILURE_COST_S
         if cost_s < best_s:
-            chosen, best_s = agent, cost_s
+            chosen, best_s, expected_s = agent, cost_s, load.estimate_s()
     if chosen is None:
         return Choice(None, 0.0)
-    return Choice(chosen, best_s, loads.find(chosen.name).has_free_slot)
+    return Choice(chosen, expected_s, loads.find(chosen.name).has_free_slot)
--- a/src/lentilfork/platform/header.py
+++ b/src/lentilfork/platform/header.py
@@ -31,6 +31,7 @@
     int(sum(flag for bit, flag in WIRE_FLAGS.items() if byte & bit))
     for byte in range(256)
 )
+FAILED_STATUS: Final = b"HTTP/1.1 5"
 
 
 class HeaderCodec:
@@ -54,6 +55,10 @@
         found = REQUEST_ID.search(packet.data, HEADER.size)
         return found.group(1).decode("ascii", "replace") if found else ""
 
+    def tells_failure(self, packet: FlowPacket) -> bool:
+        """Tell whether the HTTP status in a response's first packet is 500 or more."""
+        return packet.data.startswith(FAILED_STATUS, HEADER.size)
+
     def write_tag(self, data: bytes, tag: int) -> bytes:
         """Return a packet with another echo and without the mark of a bounce.
 
--- a/tests/forwarding/simulation.py
+++ b/tests/forwarding/simulation.py
@@ -43,6 +43,7 @@
 RETRANSMIT_S = 0.2
 SYN_BIT, ACK_BIT, RST_BIT, FIN_BIT, REJECTED_BIT = 4, 2, 8, 32, 16
 SERVER_QUEUE = 12
+FAILURE = b"HTTP/1.1 500 Internal Server Error"
 CODEC = HeaderCodec()
 
 
@@ -138,6 +139,8 @@
     queue: list[Attempt] = field(default_factory=list)
     busy_s: float = 0.0
     down: bool = False
+    # Share of requests that it fails at once, though it says that it is ready.
+    failing: float = 0.0
     # Packets that were not of a flow held here.
     rejected: int = 0
 
@@ -180,6 +183,11 @@
 
     def begin(self, attempt: Attempt) -> None:
         """Run a request, now or when a slot is free."""
+        if self.host.world.random.random() < self.failing:
+            caller = (attempt.port, attempt.port)
+            failure = ACK_BIT | FIN_BIT
+            self.answer(caller, failure, self.flows.get(caller, 0) + 1, FAILURE)
+            return
         if self.running >= self.slots:
             self.queue.append(attempt)
             return
@@ -423,6 +431,9 @@
             if attempt.sequence is None:
                 attempt.sequence = packet.sequence
                 self.send_request(attempt, RETRANSMIT_S)
+        elif packet.payload_bytes and CODEC.tells_failure(packet):
+            attempt.ended = True
+            self.clock.call_in(0.01, lambda: self.start_try(attempt.request))
         elif packet.payload_bytes:
             attempt.ended = True
             attempt.request.answered_s = self.clock.now
--- a/tests/forwarding/test_placement.py
+++ b/tests/forwarding/test_placement.py
@@ -150,6 +150,30 @@
     assert credit >= GOODPUT_SHARE
 
 
+def test_failing_server_that_says_it_is_ready_is_passed_by() -> None:
+    world = World([1.0] * 6)
+    requests = world.add_load(0.5 * 6 / MEAN_WORK_S, 1, 8)
+    server = world.hosts["agent-0"].server
+
+    def fail() -> None:
+        server.failing = 0.5
+
+    def recover() -> None:
+        server.failing = 0.0
+
+    world.clock.call_at(2.0, fail)
+    world.clock.call_at(5.0, recover)
+    world.clock.run(5.0)
+    tries = sum(item.tries - 1 for item in requests if 2.5 < item.at_s < 5)
+    busy_s = server.busy_s
+    world.clock.run(10)
+    during = [item for item in requests if 2.0 < item.at_s < 5]
+    assert get_credit(during) >= 0.98
+    # One in six would fail half of its requests.
+    assert tries <= len(during) / 50
+    assert server.busy_s - busy_s > 0.2 * 3
+
+
 def test_silent_server_is_passed_by_at_once() -> None:
     world = World([1.0] * 6)
     requests = world.add_load(0.4 * 6 / MEAN_WORK_S, 1, 6)
