--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -2,15 +2,22 @@
 
 import asyncio
 import contextlib
-import shutil
-import subprocess
 from collections.abc import AsyncIterator
 from collections.abc import Iterator
+from datetime import UTC
+from datetime import datetime
+from datetime import timedelta
+from ipaddress import IPv4Address
 from pathlib import Path
 
 import grpc
 import grpc.aio
 import pytest
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes
+from cryptography.hazmat.primitives import serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
 from result import Err
 
 from lentilfork.bench.addresses import AddressBlock
@@ -22,35 +29,71 @@
 from lentilfork.settings import TlsSettings
 from tests.membership.cluster import wait_for
 
-OPENSSL = shutil.which("openssl")
-pytestmark = pytest.mark.skipif(OPENSSL is None, reason="openssl makes certificates")
+# Longer than any run, and from before any clock that is a little behind.
+VALIDITY = timedelta(days=2)
+AUTHORITY = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "authority")])
+HOST = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "host")])
 
 
-def run_openssl(folder: Path, *arguments: str) -> None:
-    assert OPENSSL is not None
-    subprocess.run(
-        [OPENSSL, *arguments], cwd=folder, check=True, capture_output=True, timeout=60
+def write_key(path: Path, key: ec.EllipticCurvePrivateKey) -> None:
+    """Write a private key that only its owner may read."""
+    path.write_bytes(
+        key.private_bytes(
+            serialization.Encoding.PEM,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        )
+    )
+    path.chmod(0o600)
+
+
+def begin_certificate(
+    subject: x509.Name, key: ec.EllipticCurvePrivateKey
+) -> x509.CertificateBuilder:
+    """Return a certificate that the authority has not signed yet."""
+    now = datetime.now(UTC)
+    return (
+        x509.CertificateBuilder()
+        .subject_name(subject)
+        .issuer_name(AUTHORITY)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - VALIDITY)
+        .not_valid_after(now + VALIDITY)
     )
 
 
 def make_authority(folder: Path) -> None:
     folder.mkdir(exist_ok=True)
-    arguments = ["req", "-x509", "-newkey", "ec", "-pkeyopt"]
-    arguments += ["ec_paramgen_curve:prime256v1", "-nodes", "-days", "2"]
-    arguments += ["-subj", "/CN=authority", "-keyout", "ca.key", "-out", "ca.pem"]
-    run_openssl(folder, *arguments)
+    key = ec.generate_private_key(ec.SECP256R1())
+    certificate = (
+        begin_certificate(AUTHORITY, key)
+        .add_extension(x509.BasicConstraints(ca=True, path_length=None), critical=True)
+        .sign(key, hashes.SHA256())
+    )
+    write_key(folder / "ca.key", key)
+    (folder / "ca.pem").write_bytes(
+        certificate.public_bytes(serialization.Encoding.PEM)
+    )
 
 
 def make_certificate(folder: Path, host: str) -> TlsSettings:
     """Make or replace the key and the certificate of a host."""
-    (folder / "host.ext").write_text(f"subjectAltName=IP:{host}\n")
-    curve = ("-newkey", "ec", "-pkeyopt", "ec_paramgen_curve:prime256v1", "-nodes")
-    request = ("-subj", "/CN=host", "-keyout", "host.key", "-out", "host.csr")
-    run_openssl(folder, "req", *curve, *request)
-    (folder / "host.key").chmod(0o600)
-    sign = ("-CA", "ca.pem", "-CAkey", "ca.key", "-CAcreateserial", "-days", "2")
-    files = ("-in", "host.csr", "-out", "host.pem", "-extfile", "host.ext")
-    run_openssl(folder, "x509", "-req", *files, *sign)
+    authority = serialization.load_pem_private_key(
+        (folder / "ca.key").read_bytes(), password=None
+    )
+    assert isinstance(authority, ec.EllipticCurvePrivateKey)
+    key = ec.generate_private_key(ec.SECP256R1())
+    names = x509.SubjectAlternativeName([x509.IPAddress(IPv4Address(host))])
+    certificate = (
+        begin_certificate(HOST, key)
+        .add_extension(names, critical=False)
+        .sign(authority, hashes.SHA256())
+    )
+    write_key(folder / "host.key", key)
+    (folder / "host.pem").write_bytes(
+        certificate.public_bytes(serialization.Encoding.PEM)
+    )
     return TlsSettings(
         certificate=folder / "host.pem",
         key=folder / "host.key",
