Never reset a flow that was offered twice, nor hold a SYN in vain

The second agent could refuse it by its queue and reset the caller, although the flow had opened at the first one meanwhile. And a SYN held by a balancer for a service whose agents never came stayed without any answer.

Ruled out: copies of the caller, which are never refused; late notes, which only make a second offer, not a reset.

Change: envelopes tell that a SYN was offered before, and such a one is dropped instead of refused; a balancer looks at held SYNs each second and resets those of a service that still has no agents once the roster has settled.

Two tests, both fail before.

--- a/src/lentilfork/forwarding/envelopes.py
+++ b/src/lentilfork/forwarding/envelopes.py
@@ -23,7 +23,7 @@
 ]
 
 SocketName = tuple[str, int]
-HEADER: Final = struct.Struct("!BBIIHHB")
+HEADER: Final = struct.Struct("!BBIIHHB?")
 KEY_BYTES: Final = 12
 MAXIMUM_MS: Final = 0xFFFF
 MAXIMUM_BYTE: Final = 0xFF
@@ -62,6 +62,8 @@
     target_ms: int
     priority: int
     data: bytes
+    # A SYN that was offered before, so that its flow may be open by now.
+    repeated: bool = False
     # Socket it came from; None for one that was made here.
     sender: SocketName | None = None
 
@@ -81,6 +83,7 @@
         min(envelope.deadline_ms, MAXIMUM_MS),
         min(envelope.target_ms, MAXIMUM_MS),
         min(envelope.priority, MAXIMUM_BYTE),
+        envelope.repeated,
     )
     return head + envelope.data
 
@@ -91,8 +94,8 @@
     """Return the envelope in a datagram, None if it is cut short."""
     if len(datagram) <= HEADER.size:
         return None
-    kind, hops, service, ingress, deadline, target, priority = HEADER.unpack_from(
-        datagram
+    kind, hops, service, ingress, deadline, target, priority, repeated = (
+        HEADER.unpack_from(datagram)
     )
     return Envelope(
         KINDS[kind],
@@ -103,6 +106,7 @@
         target,
         priority,
         datagram[HEADER.size :],
+        repeated,
         sender,
     )
 
--- a/src/lentilfork/forwarding/ownership.py
+++ b/src/lentilfork/forwarding/ownership.py
@@ -193,17 +193,30 @@
         self.decisions.write("refused", key, reason, **inputs)
         self.send_to_caller(self.codec.make_reset(packet), packet.source)
 
+    def refuse_offered(
+        self, envelope: Envelope, packet: FlowPacket, reason: str, **inputs: object
+    ) -> None:
+        """Refuse a flow where it was offered.
+
+        One that was offered twice may have opened at the other agent, and a reset
+        would break it.
+        """
+        if envelope.repeated:
+            self.counters.add("packets_dropped", "repeated_offer")
+            return
+        self.refuse(packet, reason, **inputs)
+
     def place_elsewhere(
         self, envelope: Envelope, packet: FlowPacket, now: float, reason: str
     ) -> None:
         """Offer a SYN that this agent's backend server does not take to another."""
         key = make_caller_key(packet)
         if envelope.hops >= MAXIMUM_SYN_HOPS:
-            self.refuse(packet, "rejected by every agent asked")
+            self.refuse_offered(envelope, packet, "rejected by every agent asked")
             return
         choice = self.choose(envelope, key, [self.name], now)
         if choice.agent is None:
-            self.refuse(packet, "no other agent takes new flows")
+            self.refuse_offered(envelope, packet, "no other agent takes new flows")
             return
         self.counters.add("flows_placed_elsewhere", reason)
         passed = replace(envelope, hops=envelope.hops + 1)
@@ -224,7 +237,8 @@
             passed = replace(envelope, hops=envelope.hops + 1)
             self.offer(other, passed, packet, now)
             return True
-        self.refuse(
+        self.refuse_offered(
+            envelope,
             packet,
             "queue grew meanwhile",
             expected_ms=round(here.expected_s * MS_PER_S),
@@ -270,4 +284,5 @@
             offer.agents.append(choice.agent.name)
             offer.sent_at = now
             self.offers[key] = offer
-            self.offer(choice, offer.envelope, offer.packet, now)
+            repeated = replace(offer.envelope, repeated=True)
+            self.offer(choice, repeated, offer.packet, now)
--- a/src/lentilfork/forwarding/processes.py
+++ b/src/lentilfork/forwarding/processes.py
@@ -266,9 +266,10 @@
             )
 
     async def keep_decisions(self) -> None:
-        """Allow log lines, and note whether the table is the newest."""
+        """Allow log lines, and end the wait of SYNs that no agent came for."""
         while True:
             self.decisions.start_second()
+            self.balancer.forward_held(time.monotonic())
             await asyncio.sleep(DECISION_INTERVAL_S)
 
     def take_update(self, data: bytes, sender: SocketName) -> None:
--- a/tests/forwarding/test_balancer.py
+++ b/tests/forwarding/test_balancer.py
@@ -83,6 +83,15 @@
     assert len(sent.resets) == 1
 
 
+def test_held_syn_that_no_agent_comes_for_is_refused() -> None:
+    balancer, sent = make_balancer()
+    synchronize(balancer, 1.0)
+    balancer.roster.replace([])
+    balancer.take_packet(make_opening(1), 0.9 + SETTLE_S)
+    balancer.forward_held(1.1 + SETTLE_S)
+    assert len(sent.resets) == 1
+
+
 def test_syn_whose_caller_has_given_up_is_dropped() -> None:
     balancer, sent = make_balancer()
     balancer.take_packet(make_opening(1), 1.0)
--- a/tests/forwarding/test_delivery.py
+++ b/tests/forwarding/test_delivery.py
@@ -108,8 +108,8 @@
         assert len(sent) == resets
 
 
-def test_flow_refused_where_it_was_offered_is_not_offered_again() -> None:
-    world = World([1.0] * 2)
+def offer_to_full_server(world: World, *, repeated: bool) -> tuple[list[bytes], bytes]:
+    """Offer a SYN to an agent with a long queue; returns resets and the flow's key."""
     host, owner = world.hosts["agent-0"], world.hosts["agent-1"]
     resets: list[bytes] = []
     host.agent.owner.send_to_caller = lambda data, _address: resets.append(data)
@@ -119,13 +119,33 @@
     packet = owner.agent.owner.codec.parse(syn)
     assert packet is not None
     envelope = Envelope(
-        Kind.DELIVER, MAXIMUM_QUEUE_HOPS, hash_name(SERVICE), 0, 1000, 100, 1, syn
+        Kind.DELIVER,
+        MAXIMUM_QUEUE_HOPS,
+        hash_name(SERVICE),
+        0,
+        1000,
+        100,
+        1,
+        syn,
+        repeated,
     )
     key = make_caller_key(packet)
-    agents = [host.name]
-    owner.agent.owner.offers[key] = Offer(envelope, packet, world.clock.now, agents)
+    offer = Offer(envelope, packet, world.clock.now, [host.name])
+    owner.agent.owner.offers[key] = offer
     host.take(encode_envelope(envelope), owner.address)
     world.clock.run(world.clock.now + 0.05)
+    return resets, key
+
+
+def test_flow_refused_where_it_was_offered_is_not_offered_again() -> None:
+    world = World([1.0] * 2)
+    resets, key = offer_to_full_server(world, repeated=False)
+    owner = world.hosts["agent-1"].agent
     assert len(resets) == 1
-    assert key not in owner.agent.owner.offers
-    assert owner.agent.loads.find(host.name).unanswered == 0
+    assert key not in owner.owner.offers
+    assert owner.loads.find("agent-0").unanswered == 0
+
+
+def test_flow_that_may_be_open_elsewhere_is_not_reset() -> None:
+    resets, _ = offer_to_full_server(World([1.0] * 2), repeated=True)
+    assert resets == []
