--- a/src/lentilfork/agreement/election.py
+++ b/src/lentilfork/agreement/election.py
@@ -163,8 +163,10 @@
     ) -> agreement_pb2.VoteReply:
         """Answer a vote request; raises StorageError if the vote cannot be synced."""
         core = self.core
-        core.storage.check_writable()
         async with core.lock:
+            # Checked with the lock held: a copy of a request must not find the vote
+            # that the first one could not sync.
+            core.storage.check_writable()
             if request.pre_vote:
                 granted = self.would_grant(request)
             else:
--- a/src/lentilfork/agreement/log.py
+++ b/src/lentilfork/agreement/log.py
@@ -202,14 +202,25 @@
         return base
 
     async def install_snapshot(self, snapshot: agreement_pb2.StoredSnapshot) -> None:
-        """Store a snapshot of the leader; drop all entries if they conflict with it."""
+        """Store a snapshot of the leader; drop all entries if they conflict with it.
+
+        Raises StorageError, and changes nothing in memory, if it cannot be synced: the
+        caller's state then still belongs to the entries.
+        """
         async with self.write_lock:
+            stored = self.make_stored(snapshot)
             if self.get_term(snapshot.last_index) != snapshot.last_term:
-                self.entries.clear()
-                self.base_index = snapshot.last_index
-                self.base_term = snapshot.last_term
-            self.commit_index = max(self.commit_index, snapshot.last_index)
-            await self.rewrite(snapshot)
+                stored.entries = []
+                stored.base_index = snapshot.last_index
+                stored.base_term = snapshot.last_term
+            stored.commit_index = max(self.commit_index, snapshot.last_index)
+            await self.write_files(stored, snapshot_changed=True)
+            self.snapshot = snapshot
+            self.entries = stored.entries
+            self.base_index, self.base_term = stored.base_index, stored.base_term
+            self.commit_index = stored.commit_index
+            self.pending = []
+            self.synced_index = self.last_index
 
     async def rewrite(
         self,
@@ -221,17 +232,26 @@
         self.snapshot = snapshot
         self.pending = []
         self.synced_index = min(self.synced_index, self.last_index)
-        stored = StoredLog(
+        await self.write_files(self.make_stored(snapshot), snapshot_changed, recovering)
+        self.update_synced_index()
+
+    def make_stored(self, snapshot: agreement_pb2.StoredSnapshot | None) -> StoredLog:
+        """Return the log in memory together with a snapshot."""
+        return StoredLog(
             self.base_index,
             self.base_term,
             self.commit_index,
             list(self.entries),
             snapshot,
         )
+
+    async def write_files(
+        self, stored: StoredLog, snapshot_changed: bool, recovering: bool = False
+    ) -> None:
+        """Write log and snapshot to new files and wake the tasks that wait for it."""
         try:
             await self.storage.rewrite(stored, snapshot_changed, recovering)
             self.synced_commit_index = stored.commit_index
-            self.update_synced_index()
         finally:
             await self.notify_waiters()
 
--- a/src/lentilfork/agreement/replica.py
+++ b/src/lentilfork/agreement/replica.py
@@ -194,8 +194,10 @@
             entry for entry in stored.entries if entry.index > index
         )
         # The log may contain entries of a later term than the vote file; that term has
-        # begun in any case.
-        core.term = max(core.term, core.log.last_term)
+        # begun in any case, without a vote of this replica.
+        if core.log.last_term > core.term:
+            core.term = core.log.last_term
+            core.voted_for = ""
         core.apply_committed()
         return Ok(None)
 
--- a/src/lentilfork/agreement/storage.py
+++ b/src/lentilfork/agreement/storage.py
@@ -15,6 +15,7 @@
 
 import secrets
 from collections.abc import Sequence
+from contextlib import suppress
 from dataclasses import dataclass
 from dataclasses import field
 from typing import Final
@@ -290,19 +291,34 @@
         self.log_bytes = await self.replace(make_log_name(number), [first], recovering)
         self.log_number = number
         if recovering:
-            await self.replace(VOTE, [self.vote], recovering)
+            await self.rewrite_vote()
             self.failure = None
         self.remove_obsolete_files(snapshot_name, make_log_name(number))
 
+    async def rewrite_vote(self) -> None:
+        """Write the vote file until it contains the vote in memory.
+
+        A vote that was cast during the write was refused by `check_writable`, but
+        remains the one of its term.
+        """
+        written = None
+        while written is not self.vote:
+            written = self.vote
+            await self.replace(VOTE, [written], recovering=True)
+
     def remove_obsolete_files(self, snapshot_name: str, log_name: str) -> None:
-        """Remove all snapshots and logs except the two given ones."""
+        """Remove all snapshots and logs except the two given ones.
+
+        A file that cannot be removed is left to the next rewrite or start.
+        """
         kept = {snapshot_name, log_name}
-        for name in self.files.list_names():
-            numbered = is_numbered(name, SNAPSHOT_PREFIX) or is_numbered(
-                name, LOG_PREFIX
-            )
-            if numbered and name not in kept:
-                self.files.remove(name)
+        with suppress(OSError):
+            for name in self.files.list_names():
+                numbered = is_numbered(name, SNAPSHOT_PREFIX) or is_numbered(
+                    name, LOG_PREFIX
+                )
+                if numbered and name not in kept:
+                    self.files.remove(name)
 
     async def replace(
         self, name: str, messages: Sequence[Message], recovering: bool = False
--- a/tests/agreement/fakes.py
+++ b/tests/agreement/fakes.py
@@ -62,6 +62,11 @@
         self.next_fingerprint = 1
         # Error number with which writes fail; 0: writes succeed.
         self.error = 0
+        # The system call that fails: "create", "write", "fsync", "rename", "fsync of
+        # folder", "unlink" or "any".
+        self.failing_call = "write"
+        # Share of the calls that fail while `error` is set.
+        self.failure_rate = 1.0
         self.sync_s = 0.002
 
     def put(self, name: str, data: bytes) -> None:
@@ -70,6 +75,12 @@
         self.fingerprints[name] = (self.next_fingerprint, self.next_fingerprint)
         self.next_fingerprint += 1
 
+    def fails(self, *calls: str) -> bool:
+        """Return whether one of these system calls fails; draws it at random."""
+        if not self.error or self.failing_call not in {*calls, "any"}:
+            return False
+        return self.failure_rate == 1 or self.rng.random() < self.failure_rate
+
     def copy(self) -> dict[str, bytes]:
         """Return a copy of all files, as a backup."""
         return dict(self.content)
@@ -131,21 +142,40 @@
 
     def remove(self, name: str) -> None:
         """Remove a file."""
-        if not self.closed:
-            self.disk.content.pop(name, None)
+        if self.closed:
+            return
+        if self.disk.fails("unlink"):
+            raise OSError(self.disk.error, "unlink failed")
+        self.disk.content.pop(name, None)
 
     async def append(self, name: str, data: bytes) -> None:
-        """Append after the sync time; a failing disk keeps half of the data."""
-        await self.write(name, data, replacing=False)
-        self.disk.content[name] = self.disk.content.get(name, b"") + data
+        """Append after the sync time.
+
+        A failed write keeps half of the data, a failed sync keeps all of it.
+        """
+        await self.wait_written(name, data, replacing=False)
+        former = self.disk.content.get(name, b"")
+        if self.disk.fails("create", "write"):
+            self.disk.content[name] = former + data[: len(data) // 2]
+            raise OSError(self.disk.error, "write failed")
+        self.disk.content[name] = former + data
+        if self.disk.fails("fsync"):
+            raise OSError(self.disk.error, "fsync failed")
 
     async def replace(self, name: str, data: bytes) -> None:
-        """Replace a file after the sync time."""
-        await self.write(name, data, replacing=True)
+        """Replace a file after the sync time.
+
+        The new file remains if only the sync of its folder fails.
+        """
+        await self.wait_written(name, data, replacing=True)
+        if self.disk.fails("create", "write", "fsync", "rename"):
+            raise OSError(self.disk.error, "replacement failed")
         self.disk.put(name, data)
+        if self.disk.fails("fsync of folder"):
+            raise OSError(self.disk.error, "fsync of folder failed")
 
-    async def write(self, name: str, data: bytes, replacing: bool) -> None:
-        """Wait for the sync time; raises OSError if the disk fails or was closed."""
+    async def wait_written(self, name: str, data: bytes, replacing: bool) -> None:
+        """Wait for the sync time; raises OSError if the process ended meanwhile."""
         if self.closed:
             raise OSError(errno.EIO, "the process is gone")
         self.pending_write = (name, data, replacing)
@@ -153,13 +183,6 @@
         if self.closed:
             raise OSError(errno.EIO, "the process is gone")
         self.pending_write = None
-        if self.disk.error:
-            partial_data = b"" if replacing else data[: len(data) // 2]
-            if partial_data:
-                self.disk.content[name] = (
-                    self.disk.content.get(name, b"") + partial_data
-                )
-            raise OSError(self.disk.error, "write failed")
 
 
 class FakeContext:
