Measure service times from served requests only; serve flows before a roster

Two of the reasons: - 62 SYNs were reset with "no agent takes new flows" by owners that balancers already knew, but which had no roster themselves yet; - a server whose queue is full sheds requests at once, and each shed request counted as a sample of the service time, so an overloaded server looked fast (20 ms estimated where the work takes 55 to 72 ms) and got more.

Change: failed requests are no samples; an owner without a roster hands a flow to its own server, whose queue is bounded by the target also before a roster has arrived.

Result: both faults have a test that failed before.

--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -131,12 +131,10 @@
         Several owners may have placed flows here since this agent last reported its
         load. A SYN that would be late is offered to another agent or refused.
         """
-        own_record = self.roster.agents.get(self.name)
-        if own_record is None or envelope.deadline_ms == 0:
+        if envelope.deadline_ms == 0:
             return True
-        local_choice = Choice(
-            own_record, self.flows.estimate_s(), self.flows.has_free_slot
-        )
+        # The roster, which may not have arrived yet, is not needed for this agent.
+        local_choice = Choice(None, self.flows.estimate_s(), self.flows.has_free_slot)
         if self.owner.admission.is_still_in_time(envelope, local_choice):
             return True
         if not self.owner.place_or_refuse(envelope, packet, local_choice, now):
@@ -243,13 +241,14 @@
             flow.sequence = packet.sequence
             flow.notified_owner = ""
             self.confirm_offer(flow, now)
+        failed = False
         if flow.requested_at is not None:
             broken = bool(packet.flags & PacketFlags.RST)
             if broken or packet.payload_bytes:
                 failed = broken or self.codec.is_failure(packet)
                 self.record_outcome(flow, now, failed=failed)
         if packet.payload_bytes:
-            elapsed_s = self.flows.record_answer(flow, now)
+            elapsed_s = self.flows.record_answer(flow, now, failed=failed)
             if elapsed_s is not None:
                 self.counters.observe("answer_time", elapsed_s)
         if packet.flags & ENDED:
--- a/src/lentilfork/forwarding/flows.py
+++ b/src/lentilfork/forwarding/flows.py
@@ -162,14 +162,19 @@
             self.outstanding += 1
         return True
 
-    def record_answer(self, flow: Flow, now: float) -> float | None:
+    def record_answer(
+        self, flow: Flow, now: float, *, failed: bool = False
+    ) -> float | None:
         """Record payload of the backend server, which answers the flow's request.
 
-        Returns the seconds since the request was delivered, or None if none is pending.
+        A failed request says nothing about the service time: an overloaded server
+        fails requests faster than it serves them. Returns the seconds since the request
+        was delivered, or None if none is pending.
         """
         elapsed_s = None
         if flow.requested_at is not None:
             elapsed_s = now - flow.requested_at
+        if elapsed_s is not None and not failed:
             queued = max(flow.running_at_start / self.slots, 1.0)
             sample = max(
                 elapsed_s / queued / self.slowdown_factor, MINIMUM_SERVICE_TIME_S
--- a/src/lentilfork/forwarding/ownership.py
+++ b/src/lentilfork/forwarding/ownership.py
@@ -155,6 +155,10 @@
     def place(self, envelope: Envelope, packet: FlowPacket, now: float) -> None:
         """Offer a new flow to the agent expected to answer first, or refuse it."""
         key = make_caller_key(packet)
+        if not self.roster.list_agents(envelope.service):
+            # The balancer knows this agent, but no roster has arrived here yet.
+            self.deliver(envelope, packet, now)
+            return
         choice = self.choose_target(envelope, key, [], now)
         if choice.agent is None:
             self.refuse(packet, "no agent takes new flows")
--- a/tests/forwarding/test_delivery.py
+++ b/tests/forwarding/test_delivery.py
@@ -153,3 +153,37 @@
 def test_flow_that_may_be_open_elsewhere_is_not_reset() -> None:
     resets, _ = offer_to_full_server(World([1.0] * 2), repeated=True)
     assert resets == []
+
+
+def send_to_owner_without_roster(world: World, number: int) -> None:
+    """Pass a balancer's SYN to an agent that has no roster yet."""
+    host = world.hosts["agent-0"]
+    syn = make_packet((number, number), (0xC6120001, 443), 4)
+    envelope = Envelope(Kind.ROUTE, 0, hash_name(SERVICE), 0, 1000, 100, 1, syn)
+    host.handle_datagram(encode_envelope(envelope), ("north", 0))
+
+
+def test_owner_without_a_roster_serves_a_flow_itself() -> None:
+    # Pattern: power loss of all hosts, where balancers forward their buffered SYNs as
+    # soon as they have a roster, which some agents receive a little later.
+    world = World([1.0] * 2)
+    host = world.hosts["agent-0"]
+    host.roster.replace([])
+    delivered: list[bytes] = []
+    resets: list[bytes] = []
+    host.agent.delivery.send_to_server = delivered.append
+    host.agent.owner.send_to_caller = lambda data, _address: resets.append(data)
+    send_to_owner_without_roster(world, 1)
+    assert (len(delivered), len(resets)) == (1, 0)
+
+
+def test_owner_without_a_roster_builds_no_queue_beyond_the_target() -> None:
+    world = World([1.0] * 2)
+    host = world.hosts["agent-0"]
+    host.roster.replace([])
+    delivered: list[bytes] = []
+    host.agent.delivery.send_to_server = delivered.append
+    for number in range(1, 41):
+        send_to_owner_without_roster(world, number)
+    # Each takes 20 ms as far as is known, and the target is 100 ms.
+    assert len(delivered) <= 5
--- a/tests/forwarding/test_flows.py
+++ b/tests/forwarding/test_flows.py
@@ -107,3 +107,17 @@
     assert flow.accepts_acknowledgement(0xFFFFFFF1)
     assert flow.accepts_acknowledgement(40_000)
     assert not flow.accepts_acknowledgement(0x7FFFFFFF)
+
+
+def test_failed_requests_do_not_lower_the_service_time() -> None:
+    flows = FlowTable(1)
+    answer_requests(flows, 20, 0.05)
+    known_s = flows.service_time_s
+    for _ in range(50):
+        # A server whose queue is full sheds requests within a millisecond.
+        flows.record_request(flows.record_offer(FIRST_KEY, 0, 1.0), 1.0)
+        flow = flows.record_offer(FIRST_KEY, 0, 1.0)
+        assert flows.record_answer(flow, 1.001, failed=True) is not None
+        flows.remove(FIRST_KEY)
+    assert flows.service_time_s == known_s
+    assert (flows.outstanding, flows.running) == (0, 0)
