Keep a process working after a malformed message or an unexpected error

The process kept running, but was lost to the others or no longer offered flows again; - addresses in roster updates and announcements were split, not checked: a port above 65,535 raises OverflowError in sendto, which ended the announcements, and a name instead of an IP address would have been looked up by DNS.

Change: lentilfork.tasks starts tasks that are restarted 0.2 s after an error, which is logged with its traceback; it replaces three copies of the callback that only logged. The writer of the log is not restarted: entries that it lost must not count as synced. Addresses of messages are parsed strictly (cached, since messages repeat them). A datagram whose handling raises is dropped and counted; one a second is logged.

--- a/src/lentilfork/addresses.py
+++ b/src/lentilfork/addresses.py
@@ -1,11 +1,14 @@
 """Socket addresses as text, "ip:port", as used in settings and messages."""
 
 import ipaddress
+from functools import lru_cache
 from typing import Final
 
-__all__ = ["check_socket_address", "split_address"]
+__all__ = ["check_socket_address", "parse_address", "split_address"]
 
 MAXIMUM_PORT: Final = 65535
+# Messages repeat the addresses of all processes many times a second.
+CACHED_ADDRESSES: Final = 4096
 
 
 def check_socket_address(text: str) -> str:
@@ -21,6 +24,15 @@
     return text
 
 
+@lru_cache(CACHED_ADDRESSES)
+def parse_address(text: str) -> tuple[str, int]:
+    """Return the IP address and the port of an "ip:port" text from another process.
+
+    Raises ValueError unless a socket can send to it.
+    """
+    return split_address(check_socket_address(text))
+
+
 def split_address(text: str) -> tuple[str, int]:
     """Split a valid "ip:port" text into the IP address and the port."""
     host, _, port = text.rpartition(":")
--- a/src/lentilfork/agent.py
+++ b/src/lentilfork/agent.py
@@ -129,8 +129,8 @@
         if isinstance(started, Err):
             self.packets.close()
             return started
-        self.member.run_task(self.backend.watch_health(), "backend health")
-        self.member.run_task(self.announce_health(), "announce health")
+        self.member.run_supervised(self.backend.watch_health, "backend health")
+        self.member.run_supervised(self.announce_health, "announce health")
         return started
 
     def register_services(self, server: grpc.aio.Server) -> None:
--- a/src/lentilfork/agreement/core.py
+++ b/src/lentilfork/agreement/core.py
@@ -11,11 +11,9 @@
 import asyncio
 import time
 from collections.abc import Callable
-from collections.abc import Coroutine
 from enum import Enum
 from enum import unique
 from random import Random
-from typing import Any
 from typing import Final
 
 from lentilfork.agreement.log import Log
@@ -37,7 +35,6 @@
     "ELECTION_TIMEOUT_MIN_S",
     "Core",
     "Role",
-    "run_task",
 ]
 
 ELECTION_TIMEOUT_MIN_S: Final = 0.7
@@ -63,19 +60,6 @@
     return time.time_ns() // 1_000_000
 
 
-def run_task(work: Coroutine[Any, Any, None], name: str) -> asyncio.Task[None]:
-    """Start a task and log the error if it fails."""
-    task = asyncio.create_task(work, name=name)
-    task.add_done_callback(log_failed_task)
-    return task
-
-
-def log_failed_task(task: asyncio.Task[None]) -> None:
-    """Log the exception that ended a task, if any."""
-    if not task.cancelled() and task.exception() is not None:
-        log.critical("task failed", task=task.get_name(), error=repr(task.exception()))
-
-
 class Core:
     """Shared state of one replica and the operations that change it."""
 
--- a/src/lentilfork/agreement/leadership.py
+++ b/src/lentilfork/agreement/leadership.py
@@ -10,12 +10,12 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 from dataclasses import field
+from functools import partial
 from typing import Final
 
 from lentilfork.agreement.core import Core
 from lentilfork.agreement.core import Role
 from lentilfork.agreement.core import log
-from lentilfork.agreement.core import run_task
 from lentilfork.agreement.storage import StorageError
 from lentilfork.agreement.transport import TransportError
 from lentilfork.agreement.voters import find_majority_index
@@ -23,6 +23,7 @@
 from lentilfork.schema import agreement_pb2
 from lentilfork.schema import state_pb2
 from lentilfork.state.model import Controller
+from lentilfork.tasks import start_supervised
 
 __all__ = ["Leadership", "Peer"]
 
@@ -94,8 +95,8 @@
         self.core.append([opening])
         self.update_peers()
         self.tasks = [
-            run_task(self.track_local_syncs(), "watch syncs"),
-            run_task(self.monitor_quorum(), "watch quorum"),
+            start_supervised(self.track_local_syncs, "watch syncs"),
+            start_supervised(self.monitor_quorum, "watch quorum"),
         ]
 
     def cancel(self) -> list[asyncio.Task[None]]:
@@ -170,7 +171,9 @@
             next_index = self.core.log.last_index + 1
             peer = Peer(controller, next_index, self.core.get_time_s())
             self.peers[name] = peer
-            peer.task = run_task(self.replicate(peer), f"replicate {name}")
+            peer.task = start_supervised(
+                partial(self.replicate, peer), f"replicate {name}"
+            )
 
     def has_admitted_disk(self, peer: Peer) -> bool:
         """Return whether a peer uses the data folder with which it was admitted."""
--- a/src/lentilfork/agreement/replica.py
+++ b/src/lentilfork/agreement/replica.py
@@ -18,7 +18,6 @@
 from lentilfork.agreement.core import Role
 from lentilfork.agreement.core import StateListener
 from lentilfork.agreement.core import log
-from lentilfork.agreement.core import run_task
 from lentilfork.agreement.election import Election
 from lentilfork.agreement.files import Files
 from lentilfork.agreement.files import OsFiles
@@ -47,6 +46,8 @@
 from lentilfork.state import ReplicatedState
 from lentilfork.state import encode_replicated
 from lentilfork.state.snapshots import parse_replicated
+from lentilfork.tasks import start_supervised
+from lentilfork.tasks import start_task
 
 __all__ = ["Replica"]
 
@@ -165,11 +166,11 @@
         core.leader_contact_s = core.get_time_s()
         self.running = True
         self.tasks = [
-            run_task(core.log.run_writer(), "write log"),
-            run_task(self.election.run(), "elections"),
-            run_task(self.joining.run(), "joining"),
-            run_task(self.run_compaction(), "compaction"),
-            run_task(self.run_disk_recovery(), "disk recovery"),
+            start_task(core.log.run_writer(), "write log"),
+            start_supervised(self.election.run, "elections"),
+            start_supervised(self.joining.run, "joining"),
+            start_supervised(self.run_compaction, "compaction"),
+            start_supervised(self.run_disk_recovery, "disk recovery"),
         ]
         return Ok(None)
 
--- a/src/lentilfork/controller.py
+++ b/src/lentilfork/controller.py
@@ -9,8 +9,6 @@
 import contextlib
 import random
 import signal
-from collections.abc import Coroutine
-from typing import Any
 from typing import Final
 
 import grpc.aio
@@ -40,6 +38,7 @@
 from lentilfork.state.codec import encode_claim_shard
 from lentilfork.state.model import ClusterState
 from lentilfork.state.model import Voter
+from lentilfork.tasks import start_supervised
 
 __all__ = ["ControllerRole"]
 
@@ -112,7 +111,7 @@
             return Err(Failure(STEP, self.settings.control_address, str(error)))
         self.add_services(self.server)
         await self.server.start()
-        self.run_task(self.membership.run(), "membership")
+        self.tasks.append(start_supervised(self.membership.run, "membership"))
         with contextlib.suppress(NotImplementedError, ValueError):
             loop = asyncio.get_running_loop()
             loop.add_signal_handler(signal.SIGHUP, self.reload)
@@ -128,12 +127,6 @@
         admin_pb2_grpc.add_AdministrationServicer_to_server(self.operators, server)
         admin_pb2_grpc.add_InspectionServicer_to_server(inspection, server)
 
-    def run_task(self, work: Coroutine[Any, Any, None], name: str) -> None:
-        """Start a task that `stop` cancels; log the error if it fails."""
-        task = asyncio.create_task(work, name=name)
-        task.add_done_callback(report_failed_task)
-        self.tasks.append(task)
-
     def reload(self) -> None:
         """Read the certificates again."""
         reloaded = self.channels.force_refresh()
@@ -209,9 +202,3 @@
         reports = leases.list_synced()
         planned = plan_shards(state, reports, self.lost_since_ms, now_ms)
         return list(map(encode_claim_shard, planned))
-
-
-def report_failed_task(task: "asyncio.Task[None]") -> None:
-    """Log the exception that ended a task."""
-    if not task.cancelled() and task.exception() is not None:
-        log.critical("task failed", task=task.get_name(), error=repr(task.exception()))
--- a/src/lentilfork/forwarding/controller.py
+++ b/src/lentilfork/forwarding/controller.py
@@ -9,9 +9,7 @@
 import random
 import time
 import zlib
-from collections.abc import Coroutine
 from dataclasses import replace
-from typing import Any
 from typing import Final
 
 import grpc.aio
@@ -29,7 +27,6 @@
 from lentilfork.forwarding.envelopes import read_kind
 from lentilfork.forwarding.membership import LENGTH_BYTES
 from lentilfork.forwarding.membership import TABLE_PORT_OFFSET
-from lentilfork.forwarding.processes import report_task
 from lentilfork.forwarding.roster_server import RosterServer
 from lentilfork.forwarding.settings import ControllerAddress
 from lentilfork.forwarding.settings import FlowAgreementSettings
@@ -41,6 +38,7 @@
 from lentilfork.schema import roster_pb2
 from lentilfork.schema import state_pb2
 from lentilfork.state.model import ClusterState
+from lentilfork.tasks import start_supervised
 
 __all__ = ["FlowControllerRole", "StoredTable"]
 
@@ -187,15 +185,9 @@
         except (OSError, RuntimeError) as error:
             await self.stop()
             return Err(Failure(STEP, format_socket((host, port)), str(error)))
-        self.run_task(self.run_expiry(), "sweep")
+        self.tasks.append(start_supervised(self.run_expiry, "expiry"))
         return Ok(None)
 
-    def run_task(self, work: Coroutine[Any, Any, None], name: str) -> None:
-        """Start a task that runs until the role stops."""
-        task = asyncio.create_task(work, name=name)
-        task.add_done_callback(report_task)
-        self.tasks.append(task)
-
     def apply_seeds(self, controllers: tuple[SocketName, ...]) -> None:
         """Apply the controllers of changed settings, which this one asks for a vote."""
         log.info("controllers in the settings changed", controllers=str(controllers))
--- a/src/lentilfork/forwarding/membership.py
+++ b/src/lentilfork/forwarding/membership.py
@@ -15,7 +15,7 @@
 
 from google.protobuf.message import DecodeError
 
-from lentilfork.addresses import split_address
+from lentilfork.addresses import parse_address
 from lentilfork.counters import Counters
 from lentilfork.forwarding.envelopes import Kind
 from lentilfork.forwarding.roster import AgentRecord
@@ -27,6 +27,7 @@
 from lentilfork.logs import Logger
 from lentilfork.schema import roster_pb2
 from lentilfork.schema import state_pb2
+from lentilfork.tasks import start_task
 
 __all__ = [
     "ANNOUNCE_INTERVAL_S",
@@ -231,7 +232,7 @@
     ) -> None:
         """Handle an update of a controller."""
         try:
-            address = split_address(update.controller)
+            address = parse_address(update.controller)
         except ValueError:
             self.counters.add("updates_dropped", "malformed")
             return
@@ -262,7 +263,7 @@
         listed = set()
         for text in update.controllers:
             try:
-                listed.add(split_address(text))
+                listed.add(parse_address(text))
             except ValueError:
                 self.counters.add("updates_dropped", "malformed")
         for address in listed:
@@ -342,7 +343,7 @@
             return
         newer = self.membership.find_newer_table(now)
         if newer is not None:
-            self.task = asyncio.create_task(self.fetch(newer[0]), name="fetch table")
+            self.task = start_task(self.fetch(newer[0]), "fetch table")
 
     async def fetch(self, controller: SocketName) -> None:
         """Fetch the table of a controller and apply it."""
--- a/src/lentilfork/forwarding/processes.py
+++ b/src/lentilfork/forwarding/processes.py
@@ -3,9 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable
-from collections.abc import Coroutine
 from functools import lru_cache
-from typing import Any
 from typing import Final
 
 from google.protobuf.message import DecodeError
@@ -38,8 +36,10 @@
 from lentilfork.forwarding.sockets import PauseDetector
 from lentilfork.logs import Logger
 from lentilfork.schema import roster_pb2
+from lentilfork.tasks import start_supervised
+from lentilfork.tasks import start_task
 
-__all__ = ["FlowAgentRole", "FlowBalancerRole", "report_task"]
+__all__ = ["FlowAgentRole", "FlowBalancerRole"]
 
 SocketName = tuple[str, int]
 # Resolution of an agent's timers, a fraction of the timeout of an offer.
@@ -70,12 +70,6 @@
     return ".".join(map(str, address.to_bytes(OCTETS, "big")))
 
 
-def report_task(task: "asyncio.Task[None]") -> None:
-    """Log the exception with which a task ended, if any."""
-    if not task.cancelled() and task.exception() is not None:
-        log.critical("task failed", task=task.get_name(), error=repr(task.exception()))
-
-
 class MemberProcess:
     """Base of balancer and agent processes: socket, membership and tasks."""
 
@@ -165,15 +159,6 @@
         self.membership.handle_update(update, sender, now)
         self.fetcher.start_if_needed(now)
 
-    def run_task(
-        self, work: Coroutine[Any, Any, None], name: str
-    ) -> "asyncio.Task[None]":
-        """Start a task, which is cancelled when the process stops."""
-        task = asyncio.create_task(work, name=name)
-        task.add_done_callback(report_task)
-        self.tasks.append(task)
-        return task
-
     async def announce(self) -> None:
         """Announce this process periodically, for as long as it runs."""
         while True:
@@ -246,8 +231,10 @@
             return Err(Failure("start balancer", peer, str(error)))
         self.balancer.send = self.socket.send
         self.balancer.send_to_caller = self.send_to_caller_from(self.packet_socket)
-        self.run_task(self.announce(), "announce")
-        self.run_task(self.run_periodic_tasks(), "decisions")
+        self.tasks = [
+            start_supervised(self.announce, "announce"),
+            start_supervised(self.run_periodic_tasks, "decisions"),
+        ]
         return Ok(None)
 
     def handle_packet(self, data: bytes, _sender: SocketName) -> None:
@@ -371,9 +358,12 @@
             lambda data: send(data, server),
             self.announce_change,
         )
-        self.run_task(self.announce(), "announce")
-        self.run_task(self.run_timers(), "timers")
-        self.server_probe = self.run_task(self.probe_server(), "look for server")
+        self.server_probe = start_task(self.probe_server(), "look for server")
+        self.tasks = [
+            start_supervised(self.announce, "announce"),
+            start_supervised(self.run_timers, "timers"),
+            self.server_probe,
+        ]
         return Ok(None)
 
     async def probe_server(self) -> None:
--- a/src/lentilfork/forwarding/roster.py
+++ b/src/lentilfork/forwarding/roster.py
@@ -14,7 +14,7 @@
 
 import xxhash
 
-from lentilfork.addresses import split_address
+from lentilfork.addresses import parse_address
 from lentilfork.buckets import find_bucket
 from lentilfork.forwarding.packets import hash_name
 from lentilfork.schema import roster_pb2
@@ -62,7 +62,7 @@
         message.name,
         message.incarnation,
         message.sequence,
-        split_address(message.address),
+        parse_address(message.address),
         message.service,
         message.data_centre,
         max(message.slots, 1),
--- a/src/lentilfork/forwarding/sockets.py
+++ b/src/lentilfork/forwarding/sockets.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import Callable
 from typing import Final
 
@@ -25,6 +26,8 @@
 # waited for longer than that plus the lateness of timers is better replaced by its
 # retransmission.
 PAUSE_THRESHOLD_MS: Final = 400
+# Minimum time between two log lines about datagrams that could not be handled.
+ERROR_LOG_INTERVAL_S: Final = 1.0
 # Most datagrams dropped from a socket after a pause; the receive buffer holds fewer.
 MAXIMUM_PENDING: Final = 65_536
 
@@ -65,8 +68,9 @@
     socket: socket.socket
     counters: Counters
     pause_detector: PauseDetector
-    # Called with each datagram and its sender.
+    # Called with each datagram and its sender. An exception drops the datagram.
     handle_datagram: Callable[[bytes, SocketName], None]
+    last_error_logged_at: float
 
     def __init__(
         self,
@@ -85,6 +89,7 @@
         self.counters = counters
         self.pause_detector = pause_detector
         self.handle_datagram = handle_datagram
+        self.last_error_logged_at = float("-inf")
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
             self.socket.setblocking(False)
@@ -113,7 +118,23 @@
                 # An ICMP error of a datagram sent earlier; nothing was received.
                 self.counters.add("datagrams_failed", "receive")
                 return
-            self.handle_datagram(data, sender)
+            try:
+                self.handle_datagram(data, sender)
+            except Exception as error:
+                self.record_error(error, sender)
+
+    def record_error(self, error: Exception, sender: SocketName) -> None:
+        """Count a datagram that could not be handled; log one of them each second."""
+        self.counters.add("datagrams_dropped", "error")
+        now = time.monotonic()
+        if now - self.last_error_logged_at >= ERROR_LOG_INTERVAL_S:
+            self.last_error_logged_at = now
+            log.critical(
+                "datagram not handled",
+                sender=sender[0],
+                error=repr(error),
+                exc_info=True,
+            )
 
     def drop_pending(self) -> None:
         """Drop all datagrams that have arrived so far."""
--- a/src/lentilfork/member.py
+++ b/src/lentilfork/member.py
@@ -19,6 +19,7 @@
 from lentilfork.membership.client import MembershipClient
 from lentilfork.schema import admin_pb2_grpc
 from lentilfork.schema import control_pb2
+from lentilfork.tasks import start_supervised
 
 if TYPE_CHECKING:
     from lentilfork.settings import AgentSettings
@@ -69,12 +70,14 @@
         except (RuntimeError, OSError) as error:
             return Err(Failure("open gRPC server", address, str(error)))
         self.server = server
-        self.run_task(self.membership.run(), "feed")
+        self.run_supervised(self.membership.run, "feed")
         return Ok(None)
 
-    def run_task(self, work: Coroutine[Any, Any, None], name: str) -> None:
-        """Run a task that `stop` cancels."""
-        self.tasks.append(asyncio.create_task(work, name=name))
+    def run_supervised(
+        self, run: Callable[[], Coroutine[Any, Any, None]], name: str
+    ) -> None:
+        """Run a task that `stop` cancels; it is restarted after an error."""
+        self.tasks.append(start_supervised(run, name))
 
     async def stop(self) -> None:
         """Cancel all tasks and close all connections."""
--- a/tests/forwarding/test_processes.py
+++ b/tests/forwarding/test_processes.py
@@ -98,6 +98,29 @@
             await role.stop()
 
 
+async def test_agent_announces_itself_after_an_unexpected_error(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    role = make_agent_role((LOOPBACK, 9))
+    announce = role.membership.announce
+    calls: list[float] = []
+
+    def announce_or_fail(now: float, *, immediate: bool = False) -> None:
+        calls.append(now)
+        if len(calls) == 1:
+            raise ValueError("unexpected")
+        announce(now, immediate=immediate)
+
+    monkeypatch.setattr(role.membership, "announce", announce_or_fail)
+    assert isinstance(await role.start(), Ok)
+    try:
+        async with asyncio.timeout(TIMEOUT_S):
+            while len(calls) < 3:
+                await asyncio.sleep(0.02)
+    finally:
+        await role.stop()
+
+
 async def test_draining_balancer_forwards_until_routers_have_removed_it() -> None:
     with bind_socket() as agent, bind_socket() as router:
         role = make_role(agent.getsockname())
