Wait for a runner that is only silent or slow to report

Cause: a duplicate of a non-idempotent request whose holder was no longer a member was told "outcome unknown" at once. A listed failure of test_two_voters_lost_at_once, "outcome unknown" instead of the answer on a busy machine, has this form.

Change: a duplicate waits until its deadline while the holder may still answer: it is a member, it was removed, or the applied state is older than its start. Only a holder that a later start has replaced has certainly ended.

--- a/src/lentilfork/at_most_once.py
+++ b/src/lentilfork/at_most_once.py
@@ -158,7 +158,7 @@
         self, job: Job, key: bytes, exchange: bytes, held: claims.HeldElsewhere
     ) -> Answer | None:
         """Return the answer of the attempt with the claim; None to claim it again."""
-        if not self.has_live_runner(held):
+        if not self.may_be_running(held):
             self.counters.add("copies", "runner lost")
             return make_outcome_unknown_answer()
         wait_outcome = await self.client.wait_for_answer(
@@ -173,13 +173,17 @@
             return None
         return make_outcome_unknown_answer()
 
-    def has_live_runner(self, held: claims.HeldElsewhere) -> bool:
-        """Return whether any runner that holds the claim is still a live member."""
+    def may_be_running(self, held: claims.HeldElsewhere) -> bool:
+        """Return whether any runner that holds the claim may still answer.
+
+        A runner that was removed for its silence may only be slow to report. One that
+        was replaced by a later incarnation has ended.
+        """
         agents = self.read_state().agents
         return any(
-            agents[runner.agent].incarnation == runner.incarnation
+            runner.agent not in agents
+            or agents[runner.agent].incarnation <= runner.incarnation
             for runner in held.runners
-            if runner.agent in agents
         )
 
     async def refuse_unclaimed(self, job: Job) -> Answer | None:
--- a/tests/claims/test_at_most_once.py
+++ b/tests/claims/test_at_most_once.py
@@ -38,6 +38,8 @@
 # Speed factor that extends the service time of 40 ms to 2 s.
 SLOW_SPEED = 0.02
 READY_TIMEOUT_S = 30.0
+# A lease lasts for 2 s after the last heartbeat.
+LONGER_THAN_LEASE_S = 3.0
 UNKNOWN = "outcome unknown"
 NOT_RUN = "not run"
 
@@ -226,6 +228,24 @@
     await wait_until_applied(sender.deployment, runner)
 
 
+async def test_answer_of_a_runner_that_was_silent_for_longer_than_its_lease(
+    sender: Sender,
+) -> None:
+    runner, *others = AGENTS
+    await sender.deployment.set_behaviour(runner, speed=SLOW_SPEED)
+    sender.send(1, [runner])
+    await sender.wait_run(1)
+    process = sender.deployment.get_process(runner)
+    process.pause()
+    await asyncio.sleep(LONGER_THAN_LEASE_S)
+    # The controllers have removed the runner, but its request still runs.
+    sender.send(1, others)
+    await asyncio.sleep(0.5)
+    process.resume()
+    assert await sender.wait_first_answer(1) == "answer"
+    assert sender.count_runs()["r1"] == 1
+
+
 async def test_agents_cut_off_from_each_other(
     sender: Sender, wiring: ProxiedWiring
 ) -> None:
