Let a leaving agent forward packets until the others know that it leaves

Cause: an agent without open flows stopped at once after its signal. Balancers and agents that had not heard of it yet sent it SYNs and packets of flows that it owned, which were lost until their retransmission 200 ms later (a report of other operators: requests that had just been accepted were cut off at a planned stop).

Change: drain takes at least two announcement intervals, since the first announcement may get lost.

Result: test_draining_agent_forwards_until_others_know_that_it_leaves failed before and passes.

--- a/src/lentilfork/forwarding/processes.py
+++ b/src/lentilfork/forwarding/processes.py
@@ -55,6 +55,9 @@
 # Delay after a change of the roster. Members without a controller announce themselves
 # every 80 ms, so the roster has most agents by then.
 FORWARD_DELAY_S: Final = 0.1
+# Balancers and agents stop sending packets to an agent once they have heard that it
+# leaves. Its first announcement of that may get lost, the second follows after 0.2 s.
+LEAVE_NOTICE_S: Final = 2 * ANNOUNCE_INTERVAL_S
 # Time reserved for stopping the process, after open flows are no longer waited for.
 STOP_MARGIN_S: Final = 0.8
 CACHED_ADDRESSES: Final = 65_536
@@ -416,10 +419,16 @@
             await asyncio.sleep(AGENT_TICK_S)
 
     async def drain(self) -> None:
-        """Stop accepting flows; return once no flow is open or the time is up."""
+        """Stop accepting flows; return once no flow is open or the time is up.
+
+        Until the other processes know that this agent leaves, it forwards the packets
+        of flows that it owns.
+        """
         self.leaving = True
-        self.agent.leave(time.monotonic())
-        deadline = time.monotonic() + self.settings.grace_s - STOP_MARGIN_S
+        started_at = time.monotonic()
+        self.agent.leave(started_at)
+        deadline = started_at + self.settings.grace_s - STOP_MARGIN_S
+        await asyncio.sleep(min(LEAVE_NOTICE_S, deadline - started_at))
         while self.agent.flows.list_open() and time.monotonic() < deadline:
             await asyncio.sleep(POLL_INTERVAL_S)
 
--- a/tests/forwarding/test_processes.py
+++ b/tests/forwarding/test_processes.py
@@ -3,11 +3,17 @@
 import asyncio
 import socket
 import time
+from dataclasses import replace
 
 import pytest
 from result import Ok
 
+from lentilfork.forwarding.envelopes import Envelope
+from lentilfork.forwarding.envelopes import Kind
 from lentilfork.forwarding.envelopes import decode_envelope
+from lentilfork.forwarding.envelopes import encode_envelope
+from lentilfork.forwarding.membership import ANNOUNCE_INTERVAL_S
+from lentilfork.forwarding.packets import hash_name
 from lentilfork.forwarding.processes import ROUTER_REMOVAL_S
 from lentilfork.forwarding.processes import FlowAgentRole
 from lentilfork.forwarding.processes import FlowBalancerRole
@@ -121,6 +127,38 @@
         await role.stop()
 
 
+async def drain_and_stop(role: FlowAgentRole) -> None:
+    """Do what the process does after the signal to stop."""
+    await role.drain()
+    await role.stop()
+
+
+async def test_draining_agent_forwards_until_others_know_that_it_leaves() -> None:
+    with bind_socket() as other, bind_socket() as balancer:
+        role = make_agent_role((LOOPBACK, 9))
+        role.settings = replace(role.settings, grace_s=TIMEOUT_S)
+        assert isinstance(await role.start(), Ok)
+        record = AgentRecord(
+            "agent-2", 1, 1, other.getsockname(), SERVICE, "north", 1, True, False
+        )
+        role.roster.replace([replace(role.agent.record, leaving=True), record])
+        stopping = asyncio.create_task(drain_and_stop(role))
+        # The first announcement was lost; the next one follows after this interval.
+        await asyncio.sleep(ANNOUNCE_INTERVAL_S)
+        syn = make_packet((5, 5), (ADDRESS, PORT), 4)
+        routed = Envelope(
+            Kind.ROUTE, 0, hash_name(SERVICE), hash_name("north"), 1000, 100, 1, syn
+        )
+        balancer.sendto(encode_envelope(routed), role.settings.address)
+        async with asyncio.timeout(TIMEOUT_S):
+            envelope = None
+            while envelope is None or envelope.data != syn:
+                data = await asyncio.get_running_loop().sock_recv(other, 2000)
+                envelope = decode_envelope(data)
+        assert envelope.kind is Kind.DELIVER
+        await stopping
+
+
 async def test_draining_balancer_forwards_until_routers_have_removed_it() -> None:
     with bind_socket() as agent, bind_socket() as router:
         role = make_role(agent.getsockname())
