Do not use a leaving backend server again when its agent restarts

Cause: a restarted agent has heard nothing of its backend server and tries it if it accepts connections, which a draining server does. So a server that had announced that it leaves got new flows again for up to one announcement interval (a report of other operators: after a restart of a process, a server that had left was in use).

A controller remembers it for 5 s: until the restarted agent knows its server's state, its record counts as not accepting, and the agent itself does not try the server. An agent that leaves no longer offers flows to a server that has not announced itself.

--- a/src/lentilfork/forwarding/agent.py
+++ b/src/lentilfork/forwarding/agent.py
@@ -198,6 +198,7 @@
             self.record, leaving=True, sequence=self.record.sequence + 1
         )
         self.delivery.accepting = False
+        self.delivery.server_has_announced = True
         self.announce()
         self.report_load(now)
 
@@ -212,22 +213,23 @@
         )
         self.delivery.accepting = accepting
         self.delivery.server_has_announced = (
-            self.server.latest is not None or self.record.leaving
+            self.server.has_announced or self.record.leaving
         )
         slots = self.server.latest.slots if self.server.latest else self.record.slots
-        if (accepting, slots) == (self.record.accepting, self.record.slots):
+        record = replace(
+            self.record,
+            accepting=accepting,
+            slots=slots,
+            server_leaving=self.server.is_leaving,
+        )
+        if record == self.record:
             return
         log.info(
             "accepting" if accepting else "not accepting",
             unanswered=self.delivery.unanswered_syns,
             silent_ms=round(min(now - self.server.last_heard_at, 1e6) * 1000),
         )
-        self.record = replace(
-            self.record,
-            accepting=accepting,
-            slots=slots,
-            sequence=self.record.sequence + 1,
-        )
+        self.record = replace(record, sequence=record.sequence + 1)
         self.announce()
         self.report_load(now)
 
@@ -288,6 +290,8 @@
 
     def apply_roster(self, now: float) -> None:
         """Apply a changed roster to the loads and to the owners of open flows."""
+        own = self.roster.agents.get(self.record.name)
+        self.server.left_before = own is not None and own.server_leaving is True
         self.loads.retain_agents(set(self.roster.agents) | {self.record.name})
         self.delivery.notify_new_owners(now)
 
--- a/src/lentilfork/forwarding/backend_server.py
+++ b/src/lentilfork/forwarding/backend_server.py
@@ -63,6 +63,9 @@
     last_heard_at: float
     # Until this time it counts as ready without an announcement.
     trusted_until: float
+    # Whether the backend server had announced to an earlier process of this agent that
+    # it leaves. Until it announces itself again, it is not used then.
+    left_before: bool
     # Ids and start times of incarnations that announced their end. Late announcements
     # of them are ignored.
     ended: set[tuple[str, int]]
@@ -73,8 +76,21 @@
         self.latest = None
         self.last_heard_at = float("-inf")
         self.trusted_until = float("-inf")
+        self.left_before = False
         self.ended = set()
 
+    @property
+    def has_announced(self) -> bool:
+        """Whether it has announced itself to this process or to the one before."""
+        return self.latest is not None or self.left_before
+
+    @property
+    def is_leaving(self) -> bool | None:
+        """Whether it drains or has stopped; None until it has announced itself."""
+        if self.latest is None:
+            return None
+        return self.latest.state is not ServerState.READY
+
     def handle_announcement(self, announcement: ServerAnnouncement, now: float) -> bool:
         """Handle an announcement; return whether it begins a new incarnation.
 
@@ -159,7 +175,7 @@
     def is_accepting(self, now: float) -> bool:
         """Return whether the backend server accepts new flows."""
         if self.latest is None:
-            return now < self.trusted_until
+            return now < self.trusted_until and not self.left_before
         if self.latest.state is not ServerState.READY:
             return False
         return now - self.last_heard_at <= MAXIMUM_SILENT_INTERVALS * self.interval_s
--- a/src/lentilfork/forwarding/roster.py
+++ b/src/lentilfork/forwarding/roster.py
@@ -44,6 +44,9 @@
     leaving: bool
     # Whether the agent has missed its announcements to the controller.
     lost: bool = False
+    # Whether the backend server drains or has stopped; None until it has announced
+    # itself to this incarnation of the agent.
+    server_leaving: bool | None = None
 
     @property
     def version(self) -> tuple[int, int]:
@@ -69,6 +72,7 @@
         message.accepting,
         message.leaving,
         message.lost,
+        message.server_leaving if message.HasField("server_leaving") else None,
     )
 
 
@@ -85,6 +89,7 @@
         accepting=record.accepting,
         leaving=record.leaving,
         lost=record.lost,
+        server_leaving=record.server_leaving,
     )
 
 
--- a/src/lentilfork/forwarding/roster_server.py
+++ b/src/lentilfork/forwarding/roster_server.py
@@ -37,6 +37,10 @@
 # Every agent announces itself several times within this time, so the roster of a
 # controller that has run for longer is complete.
 WARM_UP_S: Final = 0.6
+# An agent that restarted does not know that its backend server is leaving until the
+# server announces itself again, which it does about once a second. Until then the state
+# that the earlier process announced holds, but no longer than this.
+SERVER_MEMORY_S: Final = 5.0
 # Limits an update to one unfragmented datagram.
 AGENTS_PER_UPDATE: Final = 9
 
@@ -51,6 +55,8 @@
     revision: int
     last_heard_at: float
     removed: bool = False
+    # Until this time the backend server counts as leaving if the agent does not know.
+    server_leaving_until: float = float("-inf")
 
 
 @dataclass(slots=True)
@@ -135,7 +141,12 @@
             self.counters.add("announcements_dropped", "older")
             return
         entry.last_heard_at = now
-        if record.version > entry.record.version or entry.record.lost or entry.removed:
+        if record.server_leaving is not None:
+            memory_s = SERVER_MEMORY_S if record.server_leaving else 0.0
+            entry.server_leaving_until = now + memory_s
+        elif now < entry.server_leaving_until:
+            record = replace(record, accepting=False, server_leaving=True)
+        if record != entry.record or entry.removed:
             self.put_record(record, now)
 
     def put_record(self, record: AgentRecord, now: float) -> None:
@@ -146,6 +157,9 @@
             record,
             self.revision,
             previous.last_heard_at if record.lost and previous else now,
+            server_leaving_until=(
+                previous.server_leaving_until if previous else float("-inf")
+            ),
         )
         log.info(
             "agent changed",
--- a/tests/forwarding/test_delivery.py
+++ b/tests/forwarding/test_delivery.py
@@ -1,6 +1,7 @@
 """Packets of open flows reach their backend server when owners or agents change."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from lentilfork.forwarding.envelopes import Envelope
 from lentilfork.forwarding.envelopes import Kind
@@ -163,6 +164,35 @@
     host.handle_datagram(encode_envelope(envelope), ("north", 0))
 
 
+def test_leaving_agent_offers_no_flow_to_a_server_that_has_not_announced_itself() -> (
+    None
+):
+    world = World([1.0] * 2)
+    agent = world.hosts["agent-0"].agent
+    agent.server.latest = None
+    agent.update_record(world.clock.now)
+    assert agent.delivery.accepts_new_flows()
+    agent.leave(world.clock.now)
+    assert not agent.delivery.accepts_new_flows()
+
+
+def test_restarted_agent_does_not_use_a_server_that_was_leaving_before() -> None:
+    world = World([1.0] * 2)
+    agent = world.hosts["agent-0"].agent
+    agent.server.latest = None
+    agent.server.record_connection(world.clock.now)
+    agent.update_record(world.clock.now)
+    assert agent.record.accepting
+    agent.roster.replace(
+        replace(record, server_leaving=record.name == "agent-0")
+        for record in agent.roster.agents.values()
+    )
+    agent.apply_roster(world.clock.now)
+    agent.update_record(world.clock.now)
+    assert not agent.record.accepting
+    assert not agent.delivery.accepts_new_flows()
+
+
 def test_owner_without_a_roster_serves_a_flow_itself() -> None:
     # Pattern: power loss of all hosts, where balancers forward their buffered SYNs as
     # soon as they have a roster, which some agents receive a little later.
--- a/tests/forwarding/test_roster.py
+++ b/tests/forwarding/test_roster.py
@@ -11,6 +11,7 @@
 from lentilfork.forwarding.roster import encode_agent
 from lentilfork.forwarding.roster_server import AGENT_LOST_S
 from lentilfork.forwarding.roster_server import AGENT_REMOVE_S
+from lentilfork.forwarding.roster_server import SERVER_MEMORY_S
 from lentilfork.forwarding.roster_server import RosterServer
 from lentilfork.schema import roster_pb2
 from lentilfork.schema import state_pb2
@@ -136,6 +137,47 @@
     assert not network.member.roster.agents["agent-00"].accepting
 
 
+def restart_agent(network: FakeNetwork) -> AgentRecord:
+    """Announce an agent whose server leaves, then its next process; return that."""
+    join_agents(network, 2)
+    leaving = make_agent(0, sequence=2, accepting=False, server_leaving=True)
+    for _ in range(2):
+        network.announce(leaving)
+        network.advance()
+    # The server still accepts connections, so the new process would use it.
+    restarted = make_agent(0, incarnation=101, server_leaving=None)
+    network.announce(restarted)
+    network.advance()
+    return restarted
+
+
+def test_leaving_server_stays_unused_when_its_agent_restarts() -> None:
+    network = FakeNetwork()
+    restarted = restart_agent(network)
+    record = network.member.roster.agents["agent-00"]
+    assert record.incarnation == restarted.incarnation
+    assert not record.is_available
+    assert record.server_leaving
+
+
+def test_server_that_stays_is_used_again_when_it_announces_itself() -> None:
+    network = FakeNetwork()
+    restarted = restart_agent(network)
+    network.announce(replace(restarted, sequence=2, server_leaving=False))
+    assert network.member.roster.agents["agent-00"].is_available
+
+
+def test_restarted_agent_without_news_of_its_server_is_used_again_after_a_while() -> (
+    None
+):
+    network = FakeNetwork()
+    restarted = restart_agent(network)
+    network.now += SERVER_MEMORY_S
+    network.announce(restarted)
+    network.advance()
+    assert network.member.roster.agents["agent-00"].is_available
+
+
 def test_silent_agent_is_lost_until_it_announces_itself() -> None:
     network = FakeNetwork()
     join_agents(network, 2)
