Record the outcome of a request from the packet in which its answer begins

Cause: an agent took the first packet of its backend server with payload for the beginning of the answer, and a flow that ended before it for one without an outcome.

Change: the sequence number at which the answer begins is known from the request; the packet with that number shows the outcome. The failure rate halves in 0.5 s without requests instead of 1 s.

--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -175,6 +175,7 @@
             self.flows.record_use(flow, now)
             flow.acknowledged = packet.acknowledgement
             if packet.payload_bytes and self.flows.record_request(flow, now):
+                flow.answer_sequence = packet.acknowledgement
                 self.decisions.write(
                     "handed over",
                     flow.key,
@@ -241,23 +242,32 @@
             flow.sequence = packet.sequence
             flow.notified_owner = ""
             self.confirm_offer(flow, now)
-        failed = False
-        if flow.requested_at is not None:
-            broken = bool(packet.flags & PacketFlags.RST)
-            if broken or packet.payload_bytes:
-                failed = broken or self.codec.is_failure(packet)
-                self.record_outcome(flow, now, failed=failed)
-        if packet.payload_bytes:
-            elapsed_s = self.flows.record_answer(flow, now, failed=failed)
-            if elapsed_s is not None:
-                self.counters.observe("answer_time", elapsed_s)
+        if packet.payload_bytes or packet.flags & ENDED:
+            self.record_answer(flow, packet, now)
         if packet.flags & ENDED:
             self.flows.close(flow)
         if not flow.notified_owner:
             self.notify_owner(flow, now)
 
+    def record_answer(self, flow: Flow, packet: FlowPacket, now: float) -> None:
+        """Record a packet of an answer, and the outcome with the one that shows it.
+
+        The status is in the packet with which the answer begins; later ones, and the
+        one that ends the flow, may overtake it.
+        """
+        elapsed_s = self.flows.record_answer(flow, now)
+        if elapsed_s is not None:
+            self.counters.observe("answer_time", elapsed_s)
+        if flow.elapsed_s is None:
+            return
+        if packet.flags & PacketFlags.RST:
+            self.record_outcome(flow, now, failed=True)
+        elif packet.payload_bytes and packet.sequence == flow.answer_sequence:
+            self.record_outcome(flow, now, failed=self.codec.is_failure(packet))
+
     def record_outcome(self, flow: Flow, now: float, *, failed: bool) -> None:
         """Record whether the backend server served or failed a request."""
+        self.flows.record_outcome(flow, failed=failed)
         self.failures.record(now, failed=failed)
         if failed:
             self.counters.add("requests_failed", "by_backend_server")
--- a/src/lentilfork/forwarding/failures.py
+++ b/src/lentilfork/forwarding/failures.py
@@ -12,7 +12,7 @@
 # Weight of one request in the moving average; ten requests make up most of it.
 SAMPLE_WEIGHT: Final = 0.15
 # Time without requests after which the share has halved.
-HALF_LIFE_S: Final = 1.0
+HALF_LIFE_S: Final = 0.5
 
 
 class FailureRate:
--- a/src/lentilfork/forwarding/flows.py
+++ b/src/lentilfork/forwarding/flows.py
@@ -55,6 +55,10 @@
     # Time at which a request without an answer yet was delivered, None if there is
     # none.
     requested_at: float | None = None
+    # Sequence number at which the answer to the last request begins.
+    answer_sequence: int = 0
+    # Seconds that the last request took; None once it is known whether it failed.
+    elapsed_s: float | None = None
     # Number of requests at the backend server when the request was delivered, including
     # this one.
     running_at_start: int = 0
@@ -162,29 +166,34 @@
             self.outstanding += 1
         return True
 
-    def record_answer(
-        self, flow: Flow, now: float, *, failed: bool = False
-    ) -> float | None:
-        """Record payload of the backend server, which answers the flow's request.
+    def record_answer(self, flow: Flow, now: float) -> float | None:
+        """Record the first packet of the answer to the flow's request.
 
-        A failed request says nothing about the service time: an overloaded server
-        fails requests faster than it serves them. Returns the seconds since the request
-        was delivered, or None if none is pending.
+        Packets may arrive in any order, so this need not be the one with which the
+        answer begins. Returns the seconds since the request was delivered, or None if
+        none is pending.
         """
-        elapsed_s = None
-        if flow.requested_at is not None:
-            elapsed_s = now - flow.requested_at
-        if elapsed_s is not None and not failed:
-            queued = max(flow.running_at_start / self.slots, 1.0)
-            sample = max(
-                elapsed_s / queued / self.slowdown_factor, MINIMUM_SERVICE_TIME_S
-            )
-            self.samples += 1
-            # The default counts as one sample, so the first samples weigh more.
-            weight = max(SAMPLE_WEIGHT, 1 / (self.samples + 1))
-            self.service_time_s += weight * (sample - self.service_time_s)
+        if flow.requested_at is None:
+            return None
+        flow.elapsed_s = now - flow.requested_at
         self.clear_outstanding(flow)
-        return elapsed_s
+        return flow.elapsed_s
+
+    def record_outcome(self, flow: Flow, *, failed: bool) -> None:
+        """Record whether the request that was answered last failed.
+
+        A failed request says nothing about the service time: an overloaded server
+        fails requests faster than it serves them.
+        """
+        elapsed_s, flow.elapsed_s = flow.elapsed_s, None
+        if elapsed_s is None or failed:
+            return
+        queued = max(flow.running_at_start / self.slots, 1.0)
+        sample = max(elapsed_s / queued / self.slowdown_factor, MINIMUM_SERVICE_TIME_S)
+        self.samples += 1
+        # The default counts as one sample, so the first samples weigh more.
+        weight = max(SAMPLE_WEIGHT, 1 / (self.samples + 1))
+        self.service_time_s += weight * (sample - self.service_time_s)
 
     def clear_outstanding(self, flow: Flow) -> None:
         """Stop counting a flow and its request as outstanding."""
--- a/tests/forwarding/simulation.py
+++ b/tests/forwarding/simulation.py
@@ -183,14 +183,17 @@
         data = make_packet((ADDRESS, PORT), caller, flags, sequence, 0, payload)
         self.host.call_later(lambda: self.host.receive_from_server(data))
 
+    def send_answer(self, attempt: Attempt, payload: bytes) -> None:
+        """Send an answer; the packet that ends the flow overtakes the payload."""
+        caller = (attempt.port, attempt.port)
+        sequence = self.flows.get(caller, 0) + 1
+        self.send_packet(caller, ACK_BIT | FIN_BIT, sequence + len(payload))
+        self.send_packet(caller, ACK_BIT, sequence, payload)
+
     def run_request(self, attempt: Attempt) -> None:
         """Run a request as soon as a slot is free, or fail it."""
         if self.host.world.rng.random() < self.failing_share:
-            caller = (attempt.port, attempt.port)
-            failure = ACK_BIT | FIN_BIT
-            self.send_packet(
-                caller, failure, self.flows.get(caller, 0) + 1, FAILURE_RESPONSE
-            )
+            self.send_answer(attempt, FAILURE_RESPONSE)
             return
         if self.running >= self.slots:
             self.queue.append(attempt)
@@ -206,9 +209,7 @@
         self.running -= 1
         if self.down:
             return
-        caller = (attempt.port, attempt.port)
-        sequence = self.flows.get(caller, 0)
-        self.send_packet(caller, ACK_BIT | FIN_BIT, sequence + 1, b"answer")
+        self.send_answer(attempt, b"answer")
         if self.queue:
             self.run_request(self.queue.pop(0))
 
--- a/tests/forwarding/test_flows.py
+++ b/tests/forwarding/test_flows.py
@@ -3,6 +3,7 @@
 from lentilfork.forwarding.flows import CLOSED_LIFETIME_S
 from lentilfork.forwarding.flows import OPENING_TIMEOUT_S
 from lentilfork.forwarding.flows import REQUEST_TIMEOUT_S
+from lentilfork.forwarding.flows import Flow
 from lentilfork.forwarding.flows import FlowTable
 
 FIRST_KEY = b"flow-0000001"
@@ -22,9 +23,16 @@
     flows.record_request(flow, 1.01)
     assert flows.record_answer(flow, 1.04) is not None
     assert (flows.outstanding, flows.running) == (0, 0)
+    flows.record_outcome(flow, failed=False)
     assert flows.record_answer(flow, 1.05) is None
 
 
+def record_served(flows: FlowTable, flow: Flow, now: float) -> None:
+    """Record the answer to a request that the backend server served."""
+    assert flows.record_answer(flow, now) is not None
+    flows.record_outcome(flow, failed=False)
+
+
 def test_queueing_does_not_raise_the_service_time() -> None:
     flows = FlowTable(1)
     for _ in range(200):
@@ -34,8 +42,8 @@
         )
         flows.record_request(first, 1.0)
         flows.record_request(second, 1.0)
-        flows.record_answer(first, 1.03)
-        flows.record_answer(second, 1.06)
+        record_served(flows, first, 1.03)
+        record_served(flows, second, 1.06)
         flows.remove(FIRST_KEY)
         flows.remove(SECOND_KEY)
     assert abs(flows.service_time_s - 0.03) < 0.002
@@ -45,7 +53,7 @@
     """Record requests and their answers sequentially."""
     for _ in range(number):
         flows.record_request(flows.record_offer(FIRST_KEY, 0, 1.0), 1.0)
-        flows.record_answer(flows.record_offer(FIRST_KEY, 0, 1.0), 1.0 + duration_s)
+        record_served(flows, flows.record_offer(FIRST_KEY, 0, 1.0), 1.0 + duration_s)
         flows.remove(FIRST_KEY)
 
 
@@ -117,7 +125,8 @@
         # A server whose queue is full sheds requests within a millisecond.
         flows.record_request(flows.record_offer(FIRST_KEY, 0, 1.0), 1.0)
         flow = flows.record_offer(FIRST_KEY, 0, 1.0)
-        assert flows.record_answer(flow, 1.001, failed=True) is not None
+        assert flows.record_answer(flow, 1.001) is not None
+        flows.record_outcome(flow, failed=True)
         flows.remove(FIRST_KEY)
     assert flows.service_time_s == known_s
     assert (flows.outstanding, flows.running) == (0, 0)
--- a/tests/forwarding/test_placement.py
+++ b/tests/forwarding/test_placement.py
@@ -175,8 +175,9 @@
     assert score >= GOODPUT_SHARE
 
 
-def test_failing_server_that_announces_ready_is_avoided() -> None:
-    world = World([1.0] * 6)
+@pytest.mark.parametrize("seed", [1, 2, 3, 4])
+def test_failing_server_that_announces_ready_is_avoided(seed: int) -> None:
+    world = World([1.0] * 6, seed=seed)
     requests = world.add_load(0.5 * 6 / MEAN_WORK_S, 1, 8)
     server = world.hosts["agent-0"].server
 
@@ -196,6 +197,7 @@
     assert get_score(during) >= 0.98
     # Without avoidance, one server in six would fail half of its requests.
     assert tries <= len(during) / 50
+    # It works again at a fair share of its former load once it has recovered.
     assert server.busy_s - busy_s > 0.2 * 3
 
 
