Keep the roster across restarts of a controller and steps of an agent's clock

Causes, found by reading for reports of other operators (a restarted process, an agent that is only silent, a second copy of an answer on a connection in use again): - a member pruned its roster to the few agents that a controller had heard from in the first 0.2 s after its restart, so owners of flows changed twice; - an agent whose clock was set back before its start has a lower incarnation than the process before it. Controllers dropped its announcements for 120 s, members its record, and the other agents its load reports for as long as the record stayed; - a late update of an earlier revision was applied again; - packets that a backend server sent late for a closed flow reached the caller that used the port again for its next flow.

Change: agents that a roster lacks are removed only by a controller that has run long enough; a lower incarnation counts once the one before is lost; updates apply in the order of revisions; packets of a former flow with the same key are dropped.

--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -35,6 +35,8 @@
 SocketName = tuple[str, int]
 OPENED: Final = PacketFlags.SYN | PacketFlags.ACK
 ENDED: Final = PacketFlags.FIN | PacketFlags.RST
+# Packets whose sequence number may be any.
+STARTS_OR_RESETS: Final = PacketFlags.SYN | PacketFlags.RST
 # Flows older than this may be dropped, so an agent that has run for longer has seen the
 # opening of every flow that its backend server holds.
 MAXIMUM_FLOW_AGE_S: Final = 60.0
@@ -231,6 +233,11 @@
         flow = self.flows.find(key)
         if flow is None:
             flow = self.flows.add_existing(key, now)
+        elif not packet.flags & STARTS_OR_RESETS and not flow.accepts_sequence(
+            packet.sequence
+        ):
+            self.counters.add("packets_dropped", "former_flow")
+            return
         self.flows.record_use(flow, now)
         self.record_progress(flow, packet, now)
         self.counters.add("packets_answered")
--- a/src/lentilfork/forwarding/flows.py
+++ b/src/lentilfork/forwarding/flows.py
@@ -31,8 +31,8 @@
 # Closed flows are kept for this long, so that late packets still reach the backend
 # server.
 CLOSED_LIFETIME_S: Final = 5.0
-# Largest distance of an acknowledgement from the flow's first sequence number: more
-# than any answer, and small enough that a number of another flow is unlikely to match.
+# Largest distance of a sequence number from the flow's first one: more than any answer,
+# and small enough that a number of another flow is unlikely to match.
 MAXIMUM_ANSWER_BYTES: Final = 1 << 26
 
 
@@ -50,6 +50,8 @@
     used_at: float
     # First sequence number of the backend server; None if its SYN-ACK was not seen.
     sequence: int | None = None
+    # The same of the closed flow that had this key before; None if there was none.
+    former_sequence: int | None = None
     # Whether it waits for the answer to its SYN or to a request.
     outstanding: bool = False
     # Time at which a request without an answer yet was delivered, None if there is
@@ -70,10 +72,23 @@
 
     def accepts_acknowledgement(self, acknowledgement: int) -> bool:
         """Return whether a caller's acknowledgement can belong to this flow."""
-        if self.sequence is None:
-            return True
-        distance = (acknowledgement - self.sequence) % SEQUENCE_MODULUS
-        return distance <= MAXIMUM_ANSWER_BYTES
+        return self.sequence is None or is_within(acknowledgement, self.sequence)
+
+    def accepts_sequence(self, sequence: int) -> bool:
+        """Return whether a packet of the backend server can belong to this flow.
+
+        A caller may use its port again while the server retransmits packets of the flow
+        that it had before.
+        """
+        if self.sequence is not None:
+            return is_within(sequence, self.sequence)
+        former = self.former_sequence
+        return former is None or not is_within(sequence, former)
+
+
+def is_within(number: int, first: int) -> bool:
+    """Return whether a sequence number belongs to a flow that began with `first`."""
+    return (number - first) % SEQUENCE_MODULUS <= MAXIMUM_ANSWER_BYTES
 
 
 def estimate_answer_s(service_time_s: float, requests_ahead: int, slots: int) -> float:
@@ -131,7 +146,8 @@
         """Record that a SYN was delivered; retransmissions are counted once."""
         flow = self.flows.get(key)
         if flow is None or flow.closed:
-            flow = Flow(key, ingress, 0, now, now)
+            former_sequence = flow.sequence if flow is not None else None
+            flow = Flow(key, ingress, 0, now, now, former_sequence=former_sequence)
             self.flows[key] = flow
             self.awaiting_request[key] = now
             flow.outstanding = True
--- a/src/lentilfork/forwarding/loads.py
+++ b/src/lentilfork/forwarding/loads.py
@@ -63,6 +63,13 @@
         )
 
 
+def is_overdue(load: PeerLoad, now: float) -> bool:
+    """Return whether the next report of an agent should have arrived by now."""
+    return load.last_report_at is not None and (
+        now - load.last_report_at > REPORT_TIMEOUT_S
+    )
+
+
 class LoadTable:
     """Loads of agents by name."""
 
@@ -84,10 +91,15 @@
             del self.loads[name]
 
     def record_report(self, report: roster_pb2.LoadUpdate, now: float) -> None:
-        """Record a load report unless it is older than the last one."""
+        """Record a load report unless it is older than the last one.
+
+        A process whose clock was set back before its start has a lower incarnation; its
+        reports count once those of the process before it are overdue.
+        """
         load = self.get_or_create(report.agent)
         version = (report.incarnation, report.sequence)
-        if version <= (load.incarnation, load.sequence):
+        restarted = report.incarnation != load.incarnation and is_overdue(load, now)
+        if version <= (load.incarnation, load.sequence) and not restarted:
             return
         load.incarnation, load.sequence = version
         load.outstanding = report.outstanding
@@ -102,11 +114,9 @@
     def is_usable(self, agent: str, now: float) -> bool:
         """Return whether an agent may get new flows by its reports and past offers."""
         load = self.get_or_create(agent)
-        unresponsive = (
-            load.last_report_at is not None
-            and now - load.last_report_at > REPORT_TIMEOUT_S
+        return (
+            load.accepting and not is_overdue(load, now) and now >= load.avoided_until
         )
-        return load.accepting and not unresponsive and now >= load.avoided_until
 
     def record_placement(self, agent: str) -> None:
         """Count a flow that this process has placed on an agent."""
--- a/src/lentilfork/forwarding/membership.py
+++ b/src/lentilfork/forwarding/membership.py
@@ -276,16 +276,21 @@
                 del self.controllers[view.address]
 
     def apply_agents(self, update: roster_pb2.RosterUpdate) -> None:
-        """Apply the roster changes that follow the current revision."""
+        """Apply the roster changes that follow the current revision.
+
+        Agents that are not in the roster are removed only if the controller has run
+        long enough to know all of them.
+        """
         if update.epoch != self.epoch and update.base == 0 and update.revision > 0:
             self.epoch, self.revision, self.listed = update.epoch, 0, set()
         if update.epoch != self.epoch or update.base > self.revision:
             return
         changed = False
-        for message in update.agents:
-            changed = self.apply_agent(message) or changed
-        self.revision = max(self.revision, update.revision)
-        if update.complete:
+        if update.revision > self.revision:
+            for message in update.agents:
+                changed = self.apply_agent(message) or changed
+            self.revision = update.revision
+        if update.complete and update.warm and update.revision == self.revision:
             unlisted = self.records.keys() - self.listed
             for name in unlisted:
                 del self.records[name]
@@ -294,10 +299,15 @@
             self.roster.replace(self.records.values())
 
     def apply_agent(self, message: roster_pb2.FlowAgent) -> bool:
-        """Apply one agent's record; return whether the roster changed."""
+        """Apply one agent's record; return whether the roster changed.
+
+        Records of one controller arrive in the order of its revisions. The first one of
+        another controller may be older than the one that is known.
+        """
         if message.removed:
             self.listed.discard(message.name)
             return self.records.pop(message.name, None) is not None
+        supersedes = message.name in self.listed
         self.listed.add(message.name)
         try:
             record = decode_agent(message)
@@ -305,7 +315,9 @@
             self.counters.add("updates_dropped", "malformed")
             return False
         known = self.records.get(record.name)
-        if known == record or (known is not None and record.version < known.version):
+        if known is not None and (known.lost or supersedes):
+            known = known if known == record else None
+        if known is not None and (known == record or record.version < known.version):
             return False
         self.records[record.name] = record
         return True
--- a/src/lentilfork/forwarding/roster_server.py
+++ b/src/lentilfork/forwarding/roster_server.py
@@ -137,7 +137,11 @@
         if entry is None:
             self.put_record(record, now)
             return
-        if record.version < entry.record.version:
+        # A process whose clock was set back before its start has a lower incarnation
+        # than the one before it. It is admitted once that one is lost.
+        if record.version < entry.record.version and not (
+            entry.record.lost and record.incarnation != entry.record.incarnation
+        ):
             self.counters.add("announcements_dropped", "older")
             return
         entry.last_heard_at = now
--- a/tests/forwarding/test_delivery.py
+++ b/tests/forwarding/test_delivery.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+import pytest
+
 from lentilfork.forwarding.envelopes import Envelope
 from lentilfork.forwarding.envelopes import Kind
 from lentilfork.forwarding.envelopes import encode_envelope
@@ -10,7 +12,10 @@
 from lentilfork.forwarding.ownership import Offer
 from lentilfork.forwarding.packets import hash_name
 from lentilfork.forwarding.packets import make_caller_key
+from tests.forwarding.simulation import ACK_BIT as ACK
+from tests.forwarding.simulation import FIN_BIT as FIN
 from tests.forwarding.simulation import SERVICE
+from tests.forwarding.simulation import SYN_BIT as SYN
 from tests.forwarding.simulation import Request
 from tests.forwarding.simulation import World
 from tests.forwarding.simulation import make_packet
@@ -217,3 +222,40 @@
         send_to_owner_without_roster(world, number)
     # Each takes 20 ms as far as is known, and the target is 100 ms.
     assert len(delivered) <= 5
+
+
+def make_server_packet(sequence: int, flags: int, payload: bytes = b"") -> bytes:
+    """Return a packet of a backend server to the only caller."""
+    return make_packet((0xC6120001, 443), (5, 1), flags, sequence, 0, payload)
+
+
+@pytest.mark.parametrize("opened", [False, True])
+def test_late_answer_of_a_former_flow_does_not_reach_the_caller(
+    *, opened: bool
+) -> None:
+    # Another operator's report: a server sent an answer a second time, late, on a
+    # connection that was in use again, and the next caller got it.
+    host = World([1.0]).hosts["agent-0"]
+    sent: list[bytes] = []
+    host.agent.delivery.send_to_caller = lambda data, _address: sent.append(data)
+    syn = make_packet((5, 1), (0xC6120001, 443), SYN)
+    envelope = Envelope(Kind.DELIVER, 0, hash_name(SERVICE), 0, 1000, 100, 1, syn)
+    answer = make_server_packet(1_001, ACK, b"first answer")
+    host.handle_datagram(encode_envelope(envelope), ("agent-1", 1))
+    for data in (make_server_packet(1_000, SYN | ACK), answer):
+        host.agent.handle_server_packet(data, 1.0)
+    host.agent.handle_server_packet(make_server_packet(1_013, ACK | FIN), 1.0)
+    assert len(sent) == 3
+    host.handle_datagram(encode_envelope(envelope), ("agent-1", 1))
+    own = [answer]
+    if opened:
+        own = [
+            make_server_packet(3_000_000_000, SYN | ACK),
+            make_server_packet(3_000_000_001, ACK, b"second answer"),
+        ]
+    sent.clear()
+    for data in own:
+        host.agent.handle_server_packet(data, 1.1)
+    host.agent.handle_server_packet(answer, 1.2)
+    assert sent == (own if opened else [])
+    assert host.agent.counters.get("packets_dropped", "former_flow") > 0
--- a/tests/forwarding/test_roster.py
+++ b/tests/forwarding/test_roster.py
@@ -2,6 +2,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from lentilfork.counters import Counters
 from lentilfork.forwarding.membership import CONTROLLER_TIMEOUT_S
 from lentilfork.forwarding.membership import Membership
@@ -12,6 +14,7 @@
 from lentilfork.forwarding.roster_server import AGENT_LOST_S
 from lentilfork.forwarding.roster_server import AGENT_REMOVE_S
 from lentilfork.forwarding.roster_server import SERVER_MEMORY_S
+from lentilfork.forwarding.roster_server import WARM_UP_S
 from lentilfork.forwarding.roster_server import RosterServer
 from lentilfork.schema import roster_pb2
 from lentilfork.schema import state_pb2
@@ -200,6 +203,62 @@
     assert set(network.member.roster.agents) == {"agent-01"}
 
 
+@pytest.mark.parametrize("updates_to_drop", [0, 1])
+def test_agent_whose_clock_was_set_back_is_admitted_once_its_former_process_is_lost(
+    updates_to_drop: int,
+) -> None:
+    network = FakeNetwork()
+    join_agents(network, 2)
+    network.announce(make_agent(0, sequence=2, accepting=False))
+    restarted = make_agent(0, incarnation=90)
+    network.announce(restarted)
+    network.advance()
+    assert network.member.roster.agents["agent-00"].incarnation == 100
+    network.now += AGENT_LOST_S
+    network.announce(make_agent(1))
+    network.updates_to_drop = updates_to_drop
+    network.servers[0].expire_members(network.now + 0.01)
+    network.announce(restarted)
+    network.advance()
+    record = network.member.roster.agents["agent-00"]
+    assert record.incarnation == 90
+    assert record.is_available
+
+
+def test_member_keeps_its_roster_while_its_controller_restarts() -> None:
+    network = FakeNetwork()
+    join_agents(network, 5)
+    network.servers[0] = network.make_server(0)
+    network.servers[0].started_at = network.now
+    network.advance()
+    network.announce(make_agent(0))
+    network.advance()
+    assert len(network.member.roster.agents) == 5
+    for number in range(4):
+        network.announce(make_agent(number))
+    network.advance(WARM_UP_S)
+    network.advance()
+    # The last agent ended while the controller was down.
+    assert len(network.member.roster.agents) == 4
+
+
+def test_late_update_of_a_former_revision_is_ignored() -> None:
+    network = FakeNetwork()
+    join_agents(network, 2)
+    server, delayed = network.servers[0], list[bytes]()
+    server.send = lambda data, _address: delayed.append(data)
+    network.announce(make_agent(0, sequence=2, accepting=False))
+    server.send = lambda data, _address: network.to_member(0, data)
+    network.advance()
+    network.now += AGENT_LOST_S
+    network.announce(make_agent(1))
+    server.expire_members(network.now + 0.01)
+    assert network.member.roster.agents["agent-00"].lost
+    for data in delayed:
+        network.to_member(0, data)
+    assert network.member.roster.agents["agent-00"].lost
+
+
 def test_member_keeps_its_roster_when_it_changes_its_primary() -> None:
     network = FakeNetwork(3)
     join_agents(network, 5)
