Reject incomplete long answers and keep answers with their own request

Causes, found by reading for reports of other operators (an answer that broke off reached the caller as complete; a caller got an answer that was not its own): - a long answer whose stream ended early with status OK counted as whole, parts of two versions were joined, and a block beyond the end was an empty last block; - RESOURCE_EXHAUSTED after the first part was taken for a request that did not run; - exchanges were identified by caller address, message id and token only. A sign that restarts, or the next one behind its address, that counts from the same message id got the stored answer of the earlier request, for up to 247 s.

Change: BackendPart carries the total length, checked if present; mixed versions and missing parts fail the call; a block beyond the end is answered with 4.00. The key of an exchange includes a digest of the request; a claim's record stores it with the answer and refuses another request with "not run" (true, since under that key it never runs). Claim keys and stored answers stay compatible with the builds before.

--- a/src/lentilfork/adapters/backends.py
+++ b/src/lentilfork/adapters/backends.py
@@ -6,7 +6,9 @@
 """
 
 import asyncio
+from collections.abc import Sequence
 from dataclasses import dataclass
+from dataclasses import replace
 from enum import Enum
 from enum import unique
 from typing import Final
@@ -117,21 +119,40 @@
         """Run a request for a long answer and return all parts of it joined."""
         if not self.is_connected():
             return self.make_failure("fetch", BackendError.UNREACHABLE, "not connected")
-        blocks: list[bytes] = []
-        etag = b""
+        parts: list[backend_pb2.BackendPart] = []
+        size = 0
         try:
             call = self.stub.Fetch(convert_request(request, key), timeout=timeout_s)
-            async for block in call:
-                etag = block.etag or etag
-                blocks.append(block.payload)
-                if sum(map(len, blocks)) > MAXIMUM_ANSWER_BYTES:
+            async for part in call:
+                parts.append(part)
+                size += len(part.payload)
+                if size > MAXIMUM_ANSWER_BYTES:
                     call.cancel()
                     return self.make_failure(
                         "fetch", BackendError.FAILED, "answer too long"
                     )
         except grpc.aio.AioRpcError as error:
-            return self.convert_rpc_error("fetch", error)
-        return Ok(Answer(CONTENT_CODE, b"".join(blocks), etag))
+            failure = self.convert_rpc_error("fetch", error)
+            if parts and failure.err_value.error is BackendError.SHED:
+                # The answer had begun, so the request did run.
+                return Err(replace(failure.err_value, error=BackendError.FAILED))
+            return failure
+        return self.join_parts(parts)
+
+    def join_parts(
+        self, parts: Sequence[backend_pb2.BackendPart]
+    ) -> Result[Answer, BackendFailure]:
+        """Return the whole answer; a failure if parts are missing or do not match."""
+        if not parts:
+            return self.make_failure("fetch", BackendError.FAILED, "answer is empty")
+        etags = {part.etag for part in parts if part.etag}
+        if len(etags) > 1:
+            return self.make_failure("fetch", BackendError.FAILED, "content changed")
+        payload = b"".join(part.payload for part in parts)
+        if parts[0].total_bytes not in {0, len(payload)}:
+            text = f"answer ended after {len(payload)} of {parts[0].total_bytes} bytes"
+            return self.make_failure("fetch", BackendError.FAILED, text)
+        return Ok(Answer(CONTENT_CODE, payload, next(iter(etags), b"")))
 
     def is_connected(self) -> bool:
         """Return whether a call would be sent immediately; else start connecting."""
--- a/src/lentilfork/adapters/callers.py
+++ b/src/lentilfork/adapters/callers.py
@@ -6,8 +6,10 @@
 """
 
 from dataclasses import dataclass
+from dataclasses import replace
 from enum import Enum
 from enum import unique
+from hashlib import blake2b
 from typing import Final
 
 from aiocoap import error
@@ -40,8 +42,13 @@
 OUTCOME_UNKNOWN_CODE: Final = int(codes.GATEWAY_TIMEOUT)
 NOT_RUN_TEXT: Final = b"not run"
 OUTCOME_UNKNOWN_TEXT: Final = b"outcome unknown"
+NO_SUCH_BLOCK_TEXT: Final = b"no such block"
 IDEMPOTENT_METHODS: Final = frozenset({"GET", "PUT", "DELETE", "FETCH", "iPATCH"})
 REQUEST_ID_QUERY: Final = "id="
+DIGEST_BYTES: Final = 16
+# The first three bits of a code are its class.
+CODE_CLASS_SHIFT: Final = 5
+SUCCESS_CLASS: Final = 2
 
 
 @unique
@@ -79,6 +86,25 @@
         query = "&".join(self.query)
         return f"/{'/'.join(self.path)}" + (f"?{query}" if query else "")
 
+    @property
+    def content_digest(self) -> bytes:
+        """Digest of what is requested; 16 bytes, equal for retransmissions.
+
+        Callers choose the input, hence a cryptographic digest.
+        """
+        texts = (self.method, *self.path, *self.query)
+        content = (
+            len(self.path).to_bytes(4, "big"),
+            *(text.encode() for text in texts),
+            self.payload,
+            bytes((self.size_exponent,)),
+            self.block_number.to_bytes(4, "big"),
+        )
+        digest = blake2b(digest_size=DIGEST_BYTES)
+        for part in content:
+            digest.update(len(part).to_bytes(4, "big") + part)
+        return digest.digest()
+
     @property
     def request_id(self) -> str | None:
         """The query part with the caller's id of the request, if there is one.
@@ -147,8 +173,22 @@
     )
 
 
+def is_success(answer: Answer) -> bool:
+    """Return whether an answer has a CoAP code of class 2."""
+    return answer.code >> CODE_CLASS_SHIFT == SUCCESS_CLASS
+
+
 def encode_answer(request: Request, answer: Answer) -> bytes:
-    """Return the message with the block of the answer that a request asks for."""
+    """Return the message with the block of the answer that a request asks for.
+
+    A block beyond the end is an error: an empty last block would make the blocks that
+    the caller has, perhaps of a longer version, look like the whole answer.
+    """
+    size = 2 ** (request.size_exponent + 4)
+    start = request.block_number * size
+    if request.block_number and start >= len(answer.payload) and is_success(answer):
+        answer, start = Answer(int(codes.BAD_REQUEST), NO_SUCH_BLOCK_TEXT), 0
+        request = replace(request, block_number=0)
     message = Message(
         code=codes.Code(answer.code),
         _mtype=types.ACK if request.confirmable else types.NON,
@@ -159,8 +199,6 @@
         message.opt.etag = answer.etag
     if answer.max_age_s is not None:
         message.opt.max_age = answer.max_age_s
-    size = 2 ** (request.size_exponent + 4)
-    start = request.block_number * size
     message.payload = answer.payload[start : start + size]
     if len(answer.payload) > size or request.block_number:
         more = start + size < len(answer.payload)
--- a/src/lentilfork/at_most_once.py
+++ b/src/lentilfork/at_most_once.py
@@ -29,7 +29,7 @@
 from lentilfork.runner import RETRY_AFTER_S
 from lentilfork.runner import Runner
 from lentilfork.runner import explain_failure
-from lentilfork.schema import backend_pb2
+from lentilfork.schema import claims_pb2
 
 if TYPE_CHECKING:
     from lentilfork.counters import Counters
@@ -120,7 +120,7 @@
         grant = outcome.grant
         result = await runner.run_in_slot(job, grant.key, grant.begin)
         if isinstance(result, Ok):
-            self.settle_done(grant, result.ok_value)
+            self.settle_done(grant, job, result.ok_value)
             return result.ok_value
         failure = result.err_value
         if isinstance(failure, Refusal):
@@ -129,16 +129,16 @@
             grant.record_not_run()
             return await self.refuse(grant, job, failure)
         answer = explain_failure(failure)
-        self.settle_done(grant, answer)
+        self.settle_done(grant, job, answer)
         return answer
 
     @handle_outcome.register
     async def handle_already_done(
-        self, outcome: claims.AlreadyDone, _job: Job, _runner: Runner
+        self, outcome: claims.AlreadyDone, job: Job, _runner: Runner
     ) -> Answer:
         """Return the stored answer of the attempt that ran."""
         self.counters.add("copies", "answered by claim")
-        return decode_stored_answer(outcome.answer)
+        return decode_stored_answer(job, outcome.answer)
 
     @handle_outcome.register
     async def handle_refused_before(
@@ -166,7 +166,7 @@
         )
         if isinstance(wait_outcome, claims.AlreadyDone):
             self.counters.add("copies", "answered by claim")
-            return decode_stored_answer(wait_outcome.answer)
+            return decode_stored_answer(job, wait_outcome.answer)
         if isinstance(wait_outcome, claims.RefusedBefore):
             return make_not_run_answer(RETRY_AFTER_S)
         if isinstance(wait_outcome, claims.Released):
@@ -214,10 +214,11 @@
             return explain_failure(failure)
         return make_outcome_unknown_answer()
 
-    def settle_done(self, grant: claims.Grant, answer: Answer) -> None:
+    def settle_done(self, grant: claims.Grant, job: Job, answer: Answer) -> None:
         """Record an answer for later duplicates in the background."""
         deadline = time.monotonic() + SETTLE_TIMEOUT_S
-        work = self.client.settle_done(grant, encode_stored_answer(answer), deadline)
+        stored_answer = encode_stored_answer(job, answer)
+        work = self.client.settle_done(grant, stored_answer, deadline)
         task = asyncio.create_task(work)
         self.pending_settlements.add(task)
         task.add_done_callback(self.pending_settlements.discard)
@@ -233,20 +234,34 @@
     return key, claims.exchange_key(caller, request.message_id, request.token)
 
 
-def encode_stored_answer(answer: Answer) -> bytes:
-    """Return the bytes in which a claim stores an answer."""
-    reply = backend_pb2.BackendReply(
-        code=answer.code, payload=answer.payload, etag=answer.etag
+def encode_stored_answer(job: Job, answer: Answer) -> bytes:
+    """Return the bytes in which a claim stores the answer to a request.
+
+    Requests with the same id count as the same even if their content differs.
+    """
+    has_id = job.request.request_id is not None
+    stored = claims_pb2.StoredAnswer(
+        code=answer.code,
+        payload=answer.payload,
+        etag=answer.etag,
+        content_digest=b"" if has_id else job.request.content_digest,
     )
-    return reply.SerializeToString()
+    return stored.SerializeToString()
+
 
+def decode_stored_answer(job: Job, data: bytes | None) -> Answer:
+    """Return the stored answer for a request with the same key.
 
-def decode_stored_answer(data: bytes | None) -> Answer:
-    """Return a stored answer; "outcome unknown" if there is none or it is malformed."""
+    Returns "outcome unknown" if there is none or it is malformed, and "not run" if it
+    answers another request with the same message id and token: under that key, this
+    one never runs.
+    """
     if data is None:
         return make_outcome_unknown_answer()
     try:
-        reply = backend_pb2.BackendReply.FromString(data)
+        stored = claims_pb2.StoredAnswer.FromString(data)
     except DecodeError:
         return make_outcome_unknown_answer()
-    return Answer(reply.code, reply.payload, reply.etag)
+    if stored.content_digest not in {b"", job.request.content_digest}:
+        return make_not_run_answer(RETRY_AFTER_S, "message id in use")
+    return Answer(stored.code, stored.payload, stored.etag)
--- a/src/lentilfork/bench/backend_server.py
+++ b/src/lentilfork/bench/backend_server.py
@@ -252,6 +252,7 @@
                 part = backend_pb2.BackendPart(
                     payload=content[offset : offset + PART_BYTES],
                     etag=make_etag(request.path, version) if offset == 0 else b"",
+                    total_bytes=len(content) if offset == 0 else 0,
                 )
                 await context.write(part)
 
--- a/src/lentilfork/directory.py
+++ b/src/lentilfork/directory.py
@@ -31,13 +31,16 @@
 MAXIMUM_ENTRIES: Final = 100_000
 
 
-def make_exchange_key(caller_key: bytes, message_id: int, token: bytes) -> bytes:
+def make_exchange_key(
+    caller_key: bytes, message_id: int, token: bytes, content_digest: bytes
+) -> bytes:
     """Return the key of one message of a caller and of its retransmissions.
 
-    The key includes the token, since a busy caller may reuse a message id while the
-    directory still contains the earlier exchange.
+    The key includes the token and a digest of the request, since a busy or restarted
+    caller, or another one at its address, may reuse a message id while the earlier
+    exchange is still known.
     """
-    return b"x" + caller_key + message_id.to_bytes(2, "big") + token
+    return b"x" + caller_key + message_id.to_bytes(2, "big") + token + content_digest
 
 
 def make_download_key(caller_key: bytes, target: str) -> bytes:
--- a/src/lentilfork/jobs.py
+++ b/src/lentilfork/jobs.py
@@ -37,7 +37,10 @@
     def exchange_key(self) -> bytes:
         """Key of this message and its retransmissions."""
         return make_exchange_key(
-            self.pair.caller_key(), self.request.message_id, self.request.token
+            self.pair.caller_key(),
+            self.request.message_id,
+            self.request.token,
+            self.request.content_digest,
         )
 
     @property
--- a/tests/adapters/test_callers.py
+++ b/tests/adapters/test_callers.py
@@ -1,5 +1,8 @@
 """CoAP answers match their request, and their blocks join to the whole answer."""
 
+from dataclasses import replace
+from typing import Any
+
 import pytest
 from aiocoap.message import Message
 
@@ -40,3 +43,26 @@
 def test_refusal_carries_the_retry_delay() -> None:
     message = Message.decode(encode_answer(make_request(), make_not_run_answer(3)))
     assert (str(message.code), message.opt.max_age) == ("5.03 Service Unavailable", 3)
+
+
+def test_block_beyond_the_end_is_no_success() -> None:
+    request = make_request(block=2)
+    message = Message.decode(encode_answer(request, Answer(CONTENT, bytes(1025))))
+    assert not message.code.is_successful()
+    assert message.opt.block2 is None
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"path": ("artwork", "q")},
+        {"path": ("artwork",), "query": ("p",)},
+        {"payload": b"x"},
+        {"method": "POST"},
+        {"block_number": 1},
+    ],
+)
+def test_content_digest_differs_for_other_requests(change: dict[str, Any]) -> None:
+    request = make_request()
+    assert replace(request, **change).content_digest != request.content_digest
+    assert replace(request, confirmable=False).content_digest == request.content_digest
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -7,8 +7,15 @@
 import pytest
 
 from lentilfork import claims
+from lentilfork.adapters.callers import NOT_RUN_CODE
+from lentilfork.adapters.callers import OUTCOME_UNKNOWN_CODE
+from lentilfork.adapters.callers import Answer
+from lentilfork.adapters.callers import Request
 from lentilfork.at_most_once import ClaimingRunner
+from lentilfork.at_most_once import decode_stored_answer
+from lentilfork.at_most_once import encode_stored_answer
 from lentilfork.counters import Counters
+from lentilfork.schema import backend_pb2
 from lentilfork.state.model import Agent
 from lentilfork.state.model import ClusterState
 from lentilfork.state.model import Voter
@@ -58,6 +65,7 @@
     """The part of a job that waiting needs."""
 
     service: FakeService = field(default_factory=FakeService)
+    request: Request | None = None
     deadline: float = 5.0
 
 
@@ -77,3 +85,42 @@
     )
     assert bool(client.waited) is case.may_answer
     assert (answer is None) is case.may_answer
+
+
+def make_job(path: str, payload: bytes = b"", query: tuple[str, ...] = ()) -> Any:
+    """Return a job of a report with the message id and token that all jobs have."""
+    request = Request(7, b"tok", True, "POST", (path,), query, payload, 0, 6)
+    return FakeJob(request=request)
+
+
+def test_stored_answer_is_not_given_to_another_request_with_its_message_id() -> None:
+    # Another operator's report: the next caller of a connection that was in use again
+    # got an answer that was not its own. Callers that restart count from the same
+    # message id, and an address may pass to another caller.
+    answer = Answer(68, b"recorded", b"v1")
+    stored = encode_stored_answer(make_job("reports", b"frost"), answer)
+    assert decode_stored_answer(make_job("reports", b"frost"), stored) == answer
+    for other in (make_job("reports", b"thaw"), make_job("signs", b"frost")):
+        assert decode_stored_answer(other, stored).code == NOT_RUN_CODE
+
+
+def test_stored_answer_is_given_to_each_request_with_its_id() -> None:
+    answer = Answer(68, b"recorded")
+    first = make_job("reports", b"sent at 7", ("id=9",))
+    stored = encode_stored_answer(first, answer)
+    repeated = make_job("reports", b"sent at 8", ("id=9",))
+    assert decode_stored_answer(repeated, stored) == answer
+
+
+def test_stored_answer_of_an_older_build_is_given() -> None:
+    stored = backend_pb2.BackendReply(code=68, payload=b"recorded").SerializeToString()
+    answer = decode_stored_answer(make_job("reports", b"frost"), stored)
+    assert answer.payload == b"recorded"
+
+
+@pytest.mark.parametrize("data", [None, b"\xff"])
+def test_missing_or_malformed_stored_answer_is_an_unknown_outcome(
+    data: bytes | None,
+) -> None:
+    answer = decode_stored_answer(make_job("reports"), data)
+    assert answer.code == OUTCOME_UNKNOWN_CODE
