--- a/src/lentilfork/platform/main.py
+++ b/src/lentilfork/platform/main.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import gc
 import os
 import signal
 import sys
@@ -140,6 +141,9 @@
         loop.add_signal_handler(signal_number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, lambda: None)
     role = await START_FUNCTIONS[role_name](settings)
+    # Modules and classes stay, so later collections need not visit them.
+    gc.freeze()
+    gc.enable()
     if metrics_port is not None:
         await serve_metrics(role, (settings.ip, metrics_port))
     watcher = FileWatcher(path, partial(reload_settings, path, role))
--- a/tests/membership/cluster.py
+++ b/tests/membership/cluster.py
@@ -27,6 +27,8 @@
 from lentilfork.state.model import ClusterState
 
 DEADLINE_S = 10.0
+# Stopping takes well under a second; a hang is reported by the tasks that remain.
+CLOSE_TIMEOUT_S = 20.0
 
 
 class SharedLog:
@@ -228,13 +230,32 @@
     try:
         yield cluster
     finally:
-        for member in cluster.members:
-            await member.stop()
-        for controller in list(cluster.log.controllers):
-            await controller.stop()
+        async with report_tasks_on_timeout(CLOSE_TIMEOUT_S):
+            for member in cluster.members:
+                await member.stop()
+            for controller in list(cluster.log.controllers):
+                await controller.stop()
         cluster.block.close()
 
 
+@contextlib.asynccontextmanager
+async def report_tasks_on_timeout(timeout_s: float) -> AsyncIterator[None]:
+    """Fail if the body takes longer than a time, and print what each task waits for."""
+    loop = asyncio.get_running_loop()
+    handle = loop.call_later(timeout_s, print_tasks)
+    try:
+        async with asyncio.timeout(timeout_s + 1):
+            yield
+    finally:
+        handle.cancel()
+
+
+def print_tasks() -> None:
+    """Print the stacks of all tasks to standard error."""
+    for task in asyncio.all_tasks():
+        task.print_stack()
+
+
 async def wait_for(
     condition: Callable[[], object], description: str, deadline_s: float = DEADLINE_S
 ) -> float:
