Open a second standby stream while the first one stalls as well

At 20% loss one message in 600 is delayed by 3 s, so in 20 s about one primary stream stalls for longer than the lease, and now and then the standby stalls for a second at that time.

Change: a second standby is opened if acknowledgements stay late for 0.4 s longer.

Result: test_second_standby_is_opened_while_the_first_one_stalls failed before and passes.

--- a/src/lentilfork/membership/client.py
+++ b/src/lentilfork/membership/client.py
@@ -53,6 +53,9 @@
 # Acknowledgements are late if the newest acknowledged heartbeat was sent longer ago
 # than two heartbeat intervals and this margin.
 LATE_MARGIN_MS: Final = 100
+# Additional delay of acknowledgements after which a second standby is opened: it must
+# have joined before the lease ends.
+LATE_STEP_MS: Final = 400
 # The standby is kept for this long after acknowledgements were last late.
 STANDBY_HOLD_MS: Final = 30_000
 # Pause before a standby stream is opened; doubles while these streams end early, up to
@@ -61,6 +64,7 @@
 STANDBY_PAUSE_S: Final = 0.1
 MAXIMUM_RESPONSIVE_PAUSE_S: Final = 0.4
 MAXIMUM_STANDBY_PAUSE_S: Final = 6.4
+MAXIMUM_STANDBYS: Final = 2
 CONFIRMATION_TIMEOUT_MS: Final = 5_000
 LEAVE_TIMEOUT_S: Final = 2.0
 MAXIMUM_HISTORY: Final = 1_024
@@ -95,7 +99,9 @@
     # The controller of the primary stream.
     primary_address: str
     # When acknowledgements were last late.
-    last_late_ms: int
+    last_late_ms: list[int]
+    # Controller of each standby stream that is open, by its number.
+    standby_addresses: dict[int, str]
     listeners: list[Listener]
     # Set when the first generation has been applied.
     ready: asyncio.Event
@@ -138,7 +144,8 @@
         self.joined = []
         self.joined_ms = {}
         self.primary_address = ""
-        self.last_late_ms = read_clock_ms() - STANDBY_HOLD_MS
+        self.last_late_ms = [read_clock_ms() - STANDBY_HOLD_MS] * MAXIMUM_STANDBYS
+        self.standby_addresses = {}
         self.listeners = []
         self.ready = asyncio.Event()
         self.heartbeat_due = asyncio.Event()
@@ -189,7 +196,8 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self.monitor_lease())
             group.create_task(self.maintain_primary())
-            group.create_task(self.maintain_standby())
+            for number in range(MAXIMUM_STANDBYS):
+                group.create_task(self.maintain_standby(number))
 
     async def monitor_lease(self) -> None:
         """Detect stops of this process; apply a first state that stays unconfirmed."""
@@ -224,18 +232,26 @@
             pause_s = draw_backoff_s(self.failed_streams, is_renewable, self.rng)
             await asyncio.sleep(pause_s)
 
-    async def maintain_standby(self) -> None:
-        """Maintain a stream to a second controller while acknowledgements are late."""
+    async def maintain_standby(self, number: int = 0) -> None:
+        """Maintain a stream to another controller while acknowledgements are late.
+
+        The standby with a higher number is opened if acknowledgements are late for
+        longer, although the one before it is open.
+        """
         pause_s = STANDBY_PAUSE_S
         while True:
             await asyncio.sleep(pause_s)
-            others = sorted(self.list_controllers() - {self.primary_address})
-            if not self.has_late_acknowledgements() or not others:
+            in_use = {self.primary_address, *self.standby_addresses.values()}
+            others = sorted(self.list_controllers() - in_use)
+            if not self.has_late_acknowledgements(number) or not others:
                 continue
             self.counters.add("feed.standby_joined")
             opened_ms = read_clock_ms()
-            address = self.rng.choice(others)
-            await self.run_stream(address, self.has_late_acknowledgements)
+            address = self.standby_addresses[number] = self.rng.choice(others)
+            await self.run_stream(
+                address, lambda: self.has_late_acknowledgements(number)
+            )
+            del self.standby_addresses[number]
             responded = self.joined_ms.get(address, 0) >= opened_ms
             if read_clock_ms() - opened_ms > MAXIMUM_STREAM_TIMEOUT_MS:
                 pause_s = STANDBY_PAUSE_S
@@ -244,13 +260,17 @@
             else:
                 pause_s = min(2 * pause_s, MAXIMUM_STANDBY_PAUSE_S)
 
-    def has_late_acknowledgements(self) -> bool:
-        """Return whether acknowledgements were late within `STANDBY_HOLD_MS`."""
+    def has_late_acknowledgements(self, number: int) -> bool:
+        """Return whether standby `number` is needed.
+
+        It is while acknowledgements are late, and for `STANDBY_HOLD_MS` after that.
+        """
         now_ms = read_clock_ms()
         limit_ms = 2 * MS_PER_S * self.get_heartbeat_interval_s() + LATE_MARGIN_MS
+        limit_ms += number * LATE_STEP_MS
         if now_ms - self.lease.acknowledged_ms > limit_ms:
-            self.last_late_ms = now_ms
-        return now_ms - self.last_late_ms < STANDBY_HOLD_MS
+            self.last_late_ms[number] = now_ms
+        return now_ms - self.last_late_ms[number] < STANDBY_HOLD_MS
 
     def list_controllers(self) -> set[str]:
         """Return the addresses of all known controllers."""
--- a/tests/membership/cluster.py
+++ b/tests/membership/cluster.py
@@ -9,6 +9,9 @@
 import random
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from collections.abc import Iterator
+from types import FrameType
+from typing import Any
 
 import grpc.aio
 
@@ -251,9 +254,23 @@
 
 
 def print_tasks() -> None:
-    """Print the stacks of all tasks to standard error."""
+    """Print all tasks and the lines that they wait in."""
     for task in asyncio.all_tasks():
-        task.print_stack()
+        print(
+            task, [(item.f_code.co_name, item.f_lineno) for item in list_frames(task)]
+        )
+
+
+def list_frames(task: "asyncio.Task[Any]") -> Iterator[FrameType]:
+    """Yield the frames of the coroutines that a task runs, outermost first."""
+    awaited: Any = task.get_coro()
+    while awaited is not None:
+        frame = getattr(awaited, "cr_frame", None) or getattr(awaited, "ag_frame", None)
+        if frame is not None:
+            yield frame
+        awaited = getattr(awaited, "cr_await", None) or getattr(
+            awaited, "ag_await", None
+        )
 
 
 async def wait_for(
--- a/tests/membership/test_leases.py
+++ b/tests/membership/test_leases.py
@@ -12,6 +12,7 @@
 from lentilfork.bench.faults import Faults
 from lentilfork.bench.faults import PathConfig
 from lentilfork.bench.tcp_proxy import TcpProxy
+from lentilfork.clocks import read_clock_ms
 from lentilfork.membership.lease import LEASE_MS
 from lentilfork.membership.leases import LeaseTable
 from lentilfork.membership.leases import MemberKey
@@ -213,6 +214,28 @@
         proxy.close()
 
 
+async def test_second_standby_is_opened_while_the_first_one_stalls(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    controllers = ("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1")
+    client = Member("depot-1", controllers).membership
+    opened: list[str] = []
+
+    async def run_stream(address: str, _is_wanted: Callable[[], bool]) -> str:
+        """Deliver nothing, like a stream whose packets are lost repeatedly."""
+        opened.append(address)
+        await asyncio.sleep(LEASE_MS / 1000)
+        return "silence"
+
+    monkeypatch.setattr(client, "run_stream", run_stream)
+    client.lease.acknowledged_ms = read_clock_ms()
+    with contextlib.suppress(TimeoutError):
+        # Half of a second of the lease is left for the stream to be opened.
+        async with asyncio.timeout(LEASE_MS / 1000 - 0.5):
+            await client.run()
+    assert sorted(opened) == sorted(controllers)
+
+
 @pytest.mark.parametrize("responds", [True, False])
 async def test_standby_of_a_responsive_controller_is_soon_opened_again(
     monkeypatch: pytest.MonkeyPatch, *, responds: bool
@@ -230,7 +253,7 @@
         return "silence"
 
     monkeypatch.setattr(client, "run_stream", run_stream)
-    monkeypatch.setattr(client, "has_late_acknowledgements", lambda: True)
+    monkeypatch.setattr(client, "has_late_acknowledgements", lambda _: True)
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(3):
             await client.maintain_standby()
