Let a task end although its call breaks while it is cancelled

Cause of the hang at the end of test_nobody_is_taken_out_under_20_percent_loss: a gRPC call whose connection breaks at the moment its caller is cancelled raises AioRpcError in place of CancelledError. The membership client took it for the end of a stream and opened the next one, so its task never ended and stopping the member waited forever. The same handler stood in the relay of heartbeats, the agreement transport, the synchronisation of claims and the health watch of a backend server.

Change: these handlers raise CancelledError again if the task has been cancelled.

--- a/src/lentilfork/adapters/backends.py
+++ b/src/lentilfork/adapters/backends.py
@@ -26,6 +26,7 @@
 from lentilfork.errors import Failure
 from lentilfork.schema import backend_pb2
 from lentilfork.schema import backend_pb2_grpc
+from lentilfork.tasks import raise_if_cancelled
 
 __all__ = ["BackendError", "BackendFailure", "BackendServer"]
 
@@ -183,6 +184,7 @@
                     serving = health_pb2.HealthCheckResponse.SERVING
                     self.record_health(serving=reply.status == serving)
             except grpc.aio.AioRpcError:
+                raise_if_cancelled()
                 self.record_health(serving=False)
             await asyncio.sleep(HEALTH_RETRY_S)
 
--- a/src/lentilfork/agreement/transport.py
+++ b/src/lentilfork/agreement/transport.py
@@ -19,6 +19,7 @@
 from lentilfork.schema import agreement_pb2
 from lentilfork.schema import agreement_pb2_grpc
 from lentilfork.schema import state_pb2
+from lentilfork.tasks import raise_if_cancelled
 
 __all__ = ["GrpcTransport", "Transport", "TransportError"]
 
@@ -163,6 +164,7 @@
         try:
             return await call
         except grpc.aio.AioRpcError as error:
+            raise_if_cancelled()
             if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
                 await self.channels.abandon_channel(self.routes.get(address, address))
             raise TransportError(f"{error.code().name}: {error.details()}") from error
--- a/src/lentilfork/claims/peers.py
+++ b/src/lentilfork/claims/peers.py
@@ -19,6 +19,7 @@
 from lentilfork.schema.claims_pb2_grpc import ClaimsStub
 from lentilfork.state.model import ClusterState
 from lentilfork.state.model import Voter
+from lentilfork.tasks import raise_if_cancelled
 
 __all__ = [
     "GrpcPeers",
@@ -88,4 +89,5 @@
         try:
             return [part async for part in stub.Sync(request, timeout=SYNC_TIMEOUT_S)]
         except grpc.aio.AioRpcError:
+            raise_if_cancelled()
             return None
--- a/src/lentilfork/membership/client.py
+++ b/src/lentilfork/membership/client.py
@@ -38,6 +38,7 @@
 from lentilfork.state.digests import compute_digest
 from lentilfork.state.model import ClusterState
 from lentilfork.state.snapshots import decode_snapshot
+from lentilfork.tasks import raise_if_cancelled
 
 __all__ = ["HEARTBEAT_MS", "MembershipClient"]
 
@@ -111,7 +112,7 @@
     removal_acknowledged: asyncio.Event
     # Send times of unacknowledged heartbeats by sequence.
     sent_ms: dict[int, int]
-    # Of the last heartbeat.
+    # Sequence of the last heartbeat sent.
     sequence: int
     # The work of this member has ended.
     ended: bool
@@ -308,6 +309,7 @@
         except TimeoutError:
             return "silence"
         except grpc.aio.AioRpcError as error:
+            raise_if_cancelled()
             return error.code().name.lower()
         finally:
             if address in self.joined:
--- a/src/lentilfork/membership/server.py
+++ b/src/lentilfork/membership/server.py
@@ -24,6 +24,7 @@
 from lentilfork.schema import control_pb2_grpc
 from lentilfork.state.model import Agent
 from lentilfork.state.model import ClusterState
+from lentilfork.tasks import raise_if_cancelled
 
 __all__ = ["MembershipServer"]
 
@@ -91,6 +92,7 @@
         try:
             reply = await stub.RelayHeartbeats(batch, timeout=RELAY_TIMEOUT_S)
         except grpc.aio.AioRpcError:
+            raise_if_cancelled()
             return None
         # False means that the receiver is no longer the leader. The next batch goes
         # to the new one once it is known.
--- a/src/lentilfork/tasks.py
+++ b/src/lentilfork/tasks.py
@@ -12,7 +12,7 @@
 
 from lentilfork.logs import Logger
 
-__all__ = ["start_supervised", "start_task"]
+__all__ = ["raise_if_cancelled", "start_supervised", "start_task"]
 
 # Limits the log lines and the processor time of a task that fails again and again.
 RESTART_DELAY_S: Final = 0.2
@@ -53,6 +53,18 @@
         await asyncio.sleep(RESTART_DELAY_S)
 
 
+def raise_if_cancelled() -> None:
+    """Raise CancelledError if the current task has been cancelled.
+
+    For handlers of errors of gRPC calls: a call whose connection breaks while its
+    caller is being cancelled raises its own error in place of CancelledError, and a
+    task that continued would never end.
+    """
+    task = asyncio.current_task()
+    if task is not None and task.cancelling():
+        raise asyncio.CancelledError
+
+
 def log_failed_task(task: "asyncio.Task[None]") -> None:
     """Log the exception that ended a task, if any."""
     if not task.cancelled() and task.exception() is not None:
--- a/tests/membership/test_client.py
+++ b/tests/membership/test_client.py
@@ -1,6 +1,12 @@
 """Members join, apply generations in order and fail over."""
 
+import asyncio
+
+import grpc.aio
+import pytest
+
 from lentilfork.schema import control_pb2
+from lentilfork.schema import control_pb2_grpc
 from lentilfork.schema import state_pb2
 from lentilfork.state import compute_digest
 from lentilfork.state import encode_snapshot
@@ -96,3 +102,51 @@
         assert member.counters.get("feed.refused", "delta") == 1
         assert member.membership.want_snapshot
         await wait_for(lambda: not member.membership.want_snapshot, "snapshot received")
+
+
+class CancelledCall:
+    """A stream that ends with an error when its reader is cancelled.
+
+    gRPC does so if the connection breaks at the same moment.
+    """
+
+    def __init__(self) -> None:
+        self.reading = asyncio.Event()
+
+    async def read(self) -> control_pb2.Update:
+        """Wait for a message until cancelled."""
+        self.reading.set()
+        try:
+            await asyncio.sleep(60)
+        except asyncio.CancelledError:
+            metadata = grpc.aio.Metadata()
+            raise grpc.aio.AioRpcError(
+                grpc.StatusCode.UNAVAILABLE, metadata, metadata
+            ) from None
+        raise AssertionError
+
+    def cancel(self) -> None:
+        """Cancel the call."""
+
+
+async def test_member_stops_although_its_stream_breaks_at_the_same_moment(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    call = CancelledCall()
+
+    class FakeStub:
+        """Control calls of a controller."""
+
+        def __init__(self, _channel: object) -> None:
+            pass
+
+        def Join(self, _heartbeats: object) -> CancelledCall:  # noqa: N802
+            """Return the scripted stream."""
+            return call
+
+    monkeypatch.setattr(control_pb2_grpc, "ControlStub", FakeStub)
+    member = Member("depot-1", ("127.0.0.1:9",))
+    member.start()
+    await call.reading.wait()
+    async with asyncio.timeout(5):
+        await member.stop()
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -6,6 +6,7 @@
 import pytest
 
 from lentilfork import tasks
+from lentilfork.tasks import raise_if_cancelled
 from lentilfork.tasks import start_supervised
 
 
@@ -45,3 +46,39 @@
 
     await start_supervised(run, "once")
     assert runs == 1
+
+
+class BrokenCallError(Exception):
+    """Raised by a call in place of CancelledError."""
+
+
+async def test_call_that_breaks_while_it_is_cancelled_does_not_keep_its_task() -> None:
+    waiting = asyncio.Event()
+
+    async def call() -> None:
+        waiting.set()
+        try:
+            await asyncio.sleep(60)
+        except asyncio.CancelledError:
+            raise BrokenCallError from None
+
+    async def run() -> None:
+        while True:
+            try:
+                await call()
+            except BrokenCallError:
+                raise_if_cancelled()
+
+    task = asyncio.create_task(run())
+    await waiting.wait()
+    task.cancel()
+    async with asyncio.timeout(5.0):
+        await asyncio.wait([task])
+    assert task.cancelled()
+
+
+async def test_broken_call_of_a_task_that_is_not_cancelled_is_ignored() -> None:
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.01):
+            await asyncio.sleep(60)
+    raise_if_cancelled()
