Send roster changes that follow each other closely in one update

Cause: a controller sent each change of its roster to each subscriber by itself, encoded anew for each. While a deployment starts, or after a power loss, all agents announce themselves within a second: agents times subscribers datagrams, each of which makes the member sort its roster and its owners again, in the second in which processors have least to spare.

Change: changes within 20 ms of a notification are sent together, and updates are encoded once for all subscribers with the same revision. The first change is still sent at once.

--- a/src/lentilfork/forwarding/controller.py
+++ b/src/lentilfork/forwarding/controller.py
@@ -179,6 +179,7 @@
                 (host, port), self.handle_datagram, self.counters, self.pause_detector
             )
             self.roster_server.send = self.socket.send
+            self.roster_server.schedule_notification = self.schedule_notification
             self.table_server = await asyncio.start_server(
                 self.serve_table, host, port + TABLE_PORT_OFFSET
             )
@@ -206,6 +207,13 @@
             return
         self.roster_server.handle_announcement(announcement, sender, time.monotonic())
 
+    def schedule_notification(self, delay_s: float) -> None:
+        """Notify the subscribers of the roster after a delay."""
+        asyncio.get_running_loop().call_later(
+            delay_s,
+            lambda: self.roster_server.notify_subscribers(time.monotonic()),
+        )
+
     async def serve_table(
         self, _reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/src/lentilfork/forwarding/roster_server.py
+++ b/src/lentilfork/forwarding/roster_server.py
@@ -43,6 +43,9 @@
 SERVER_MEMORY_S: Final = 5.0
 # Limits an update to one unfragmented datagram.
 AGENTS_PER_UPDATE: Final = 9
+# Changes within this time of a notification are sent together. After a power loss all
+# agents announce themselves within a second, and all members need all of them.
+NOTIFICATION_INTERVAL_S: Final = 0.02
 
 log = Logger("roster")
 
@@ -84,7 +87,12 @@
     # Return the version of the newest route table and the addresses of the controllers.
     get_table_version: Callable[[], int]
     list_controllers: Callable[[], list[str]]
+    notified_at: float
+    # Whether a notification of further changes is scheduled.
+    notification_scheduled: bool
     send: Callable[[bytes, SocketName], None]
+    # Calls `notify_subscribers` after a delay in seconds.
+    schedule_notification: Callable[[float], None]
     counters: Counters
 
     def __init__(
@@ -103,6 +111,8 @@
         self.started_at = now
         self.entries = {}
         self.subscribers = {}
+        self.notified_at = float("-inf")
+        self.notification_scheduled = False
         self.get_table_version = get_table_version
         self.list_controllers = list_controllers
         self.counters = counters
@@ -121,10 +131,11 @@
             if announcement.name not in self.subscribers:
                 log.info("member subscribed", member=announcement.name)
             self.subscribers[announcement.name] = subscriber
-            self.send_changes(subscriber, now)
+            self.send_changes(subscriber, self.encode_changes(subscriber.revision, now))
         else:
             self.subscribers.pop(announcement.name, None)
-            self.send_update(subscriber.address, self.make_update_header(now))
+            header = self.make_update_header(now)
+            self.send_update(subscriber.address, encode_update(header))
 
     def apply_agent(self, message: roster_pb2.FlowAgent, now: float) -> None:
         """Apply the record of an agent unless the current one is newer."""
@@ -175,12 +186,28 @@
             sequence=record.sequence,
             silent_ms=round((now - self.entries[record.name].last_heard_at) * 1000),
         )
-        self.notify_subscribers(now)
+        self.request_notification(now)
+
+    def request_notification(self, now: float) -> None:
+        """Notify the subscribers, or schedule it if they were notified just now."""
+        next_at = self.notified_at + NOTIFICATION_INTERVAL_S
+        if now >= next_at:
+            self.notify_subscribers(now)
+        elif not self.notification_scheduled:
+            self.notification_scheduled = True
+            self.schedule_notification(next_at - now)
 
     def notify_subscribers(self, now: float) -> None:
         """Send all subscribers the changes that they lack."""
+        self.notified_at = now
+        self.notification_scheduled = False
+        # Most subscribers have the same revision, so the changes are encoded once.
+        updates: dict[int, list[bytes]] = {}
         for subscriber in self.subscribers.values():
-            self.send_changes(subscriber, now)
+            base = subscriber.revision
+            if base not in updates:
+                updates[base] = self.encode_changes(base, now)
+            self.send_changes(subscriber, updates[base])
 
     def expire_members(self, now: float) -> None:
         """Mark silent agents as lost or removed; drop expired entries and members."""
@@ -195,7 +222,7 @@
                 self.revision += 1
                 entry.revision = self.revision
                 entry.removed = True
-                self.notify_subscribers(now)
+                self.request_notification(now)
         unresponsive = [
             name
             for name, subscriber in self.subscribers.items()
@@ -225,17 +252,13 @@
         )
         return iter(sorted(changed, key=lambda entry: entry.revision))
 
-    def send_changes(self, subscriber: Subscriber, now: float) -> None:
-        """Send a subscriber all changes after the revision that it has."""
-        base = subscriber.revision
-        pages = list(paginate_entries(self.list_changes(base)))
-        if not pages:
-            update = self.make_update_header(now)
-            update.base = base
-            update.revision = self.revision
-            update.complete = True
-            self.send_update(subscriber.address, update)
-            return
+    def encode_changes(self, base: int, now: float) -> list[bytes]:
+        """Return the updates with all changes after a revision, as datagrams.
+
+        Without changes, it is one update that confirms the revision.
+        """
+        pages = list(paginate_entries(self.list_changes(base))) or [[]]
+        updates = []
         for number, page in enumerate(pages, start=1):
             update = self.make_update_header(now)
             update.base = base
@@ -246,16 +269,22 @@
                 message = encode_agent(entry.record)
                 message.removed = entry.removed
                 update.agents.append(message)
-            self.send_update(subscriber.address, update)
+            updates.append(encode_update(update))
             base = update.revision
+        return updates
+
+    def send_changes(self, subscriber: Subscriber, updates: list[bytes]) -> None:
+        """Send a subscriber the updates with all changes that it lacks."""
+        for update in updates:
+            self.send_update(subscriber.address, update)
         # Assumes that the updates arrive. If not, the member's next announcement
         # carries the older revision, and the changes are sent again.
         subscriber.revision = self.revision
 
-    def send_update(self, address: SocketName, update: roster_pb2.RosterUpdate) -> None:
-        """Send an update to a member."""
+    def send_update(self, address: SocketName, update: bytes) -> None:
+        """Send an encoded update to a member."""
         self.counters.add("updates_sent")
-        self.send(bytes((Kind.UPDATE,)) + update.SerializeToString(), address)
+        self.send(update, address)
 
     def dump(self) -> dict[str, object]:
         """Return the roster as JSON values."""
@@ -275,6 +304,11 @@
         }
 
 
+def encode_update(update: roster_pb2.RosterUpdate) -> bytes:
+    """Return the datagram of an update."""
+    return bytes((Kind.UPDATE,)) + update.SerializeToString()
+
+
 def paginate_entries(entries: Iterator[Entry]) -> Iterator[list[Entry]]:
     """Return the entries in pages that each fit into one update."""
     page: list[Entry] = []
--- a/tests/forwarding/test_roster.py
+++ b/tests/forwarding/test_roster.py
@@ -1,6 +1,7 @@
 """The roster from announcements to members: updates, lost agents, changed primaries."""
 
 from dataclasses import replace
+from math import ceil
 
 import pytest
 
@@ -13,6 +14,7 @@
 from lentilfork.forwarding.roster import encode_agent
 from lentilfork.forwarding.roster_server import AGENT_LOST_S
 from lentilfork.forwarding.roster_server import AGENT_REMOVE_S
+from lentilfork.forwarding.roster_server import AGENTS_PER_UPDATE
 from lentilfork.forwarding.roster_server import SERVER_MEMORY_S
 from lentilfork.forwarding.roster_server import WARM_UP_S
 from lentilfork.forwarding.roster_server import RosterServer
@@ -45,6 +47,8 @@
         self.down: set[int] = set()
         self.updates_to_drop = 0
         self.table_versions = [0] * controllers
+        # Controllers that have scheduled a notification.
+        self.scheduled: set[int] = set()
         self.addresses = [f"10.0.{number}.1:7000" for number in range(controllers)]
         self.member = Membership(
             "balancer-1",
@@ -67,6 +71,7 @@
             self.now - 10,
         )
         server.send = lambda data, _address: self.to_member(number, data)
+        server.schedule_notification = lambda _delay_s: self.scheduled.add(number)
         return server
 
     def to_controller(self, data: bytes, address: tuple[str, int]) -> None:
@@ -92,6 +97,12 @@
         for number, server in enumerate(self.servers):
             if number not in self.down:
                 server.handle_announcement(announcement, record.address, self.now)
+        self.run_notifications()
+
+    def run_notifications(self) -> None:
+        """Run the notifications that controllers have scheduled."""
+        while self.scheduled:
+            self.servers[self.scheduled.pop()].notify_subscribers(self.now)
 
     def advance(self, seconds: float = 0.2) -> None:
         """Advance the time and have the member announce itself."""
@@ -131,6 +142,20 @@
     assert len(network.member.roster.agents) == 3
 
 
+def test_changes_that_follow_each_other_closely_are_sent_together() -> None:
+    network = FakeNetwork()
+    join_agents(network, 1)
+    (server,) = network.servers
+    sent_before = server.counters.get("updates_sent")
+    for number in range(1, 40):
+        server.apply_agent(encode_agent(make_agent(number)), network.now)
+    network.run_notifications()
+    assert len(network.member.roster.agents) == 40
+    # One update for the first change, and the others in as few datagrams as they fit.
+    updates = server.counters.get("updates_sent") - sent_before
+    assert updates <= 1 + ceil(38 / AGENTS_PER_UPDATE)
+
+
 def test_older_announcement_is_ignored() -> None:
     network = FakeNetwork()
     join_agents(network, 1)
