Read a controller's announcements at an interval while many arrive

Change: while announcements arrive within 10 ms of each other, the socket is read every 10 ms instead of at each arrival.

Result: test_many_datagrams_that_are_not_urgent_cause_few_wake_ups: 100 datagrams in 100 ms cause at most 30 wake-ups.

--- a/src/lentilfork/forwarding/controller.py
+++ b/src/lentilfork/forwarding/controller.py
@@ -44,6 +44,8 @@
 
 SocketName = tuple[str, int]
 EXPIRY_INTERVAL_S: Final = 0.1
+# Announcements of members are not urgent, and hundreds arrive in a second.
+POLL_INTERVAL_S: Final = 0.01
 SERVER_GRACE_S: Final = 0.3
 # Connection attempts to a controller behind a network partition hang. gRPC's own
 # timeout of 20 s is longer than partitions of a few seconds, and data centres are only
@@ -176,7 +178,11 @@
             )
             await self.server.start()
             self.socket = DatagramSocket(
-                (host, port), self.handle_datagram, self.counters, self.pause_detector
+                (host, port),
+                self.handle_datagram,
+                self.counters,
+                self.pause_detector,
+                poll_interval_s=POLL_INTERVAL_S,
             )
             self.roster_server.send = self.socket.send
             self.roster_server.schedule_notification = self.schedule_notification
--- a/src/lentilfork/forwarding/sockets.py
+++ b/src/lentilfork/forwarding/sockets.py
@@ -78,6 +78,11 @@
     last_read_at: float
     # Most datagrams to read at the next wake-up of a burst.
     batch_size: int
+    # While datagrams arrive in quicker succession than this, the socket is read at this
+    # interval instead of at each arrival; 0 for a socket whose datagrams are urgent.
+    poll_interval_s: float
+    # The next read of a socket that is read at an interval.
+    next_poll: asyncio.TimerHandle | None
 
     def __init__(
         self,
@@ -87,12 +92,15 @@
         pause_detector: PauseDetector,
         *,
         keep_after_pause: bool = False,
+        poll_interval_s: float = 0.0,
     ) -> None:
         """Bind the address; raises OSError if it is in use.
 
         If `keep_after_pause` is set, datagrams that arrived during a pause are handled
         instead of being dropped.
         """
+        self.poll_interval_s = poll_interval_s
+        self.next_poll = None
         self.counters = counters
         self.pause_detector = pause_detector
         self.handle_datagram = handle_datagram
@@ -115,14 +123,42 @@
 
     def read(self) -> None:
         """Handle the datagrams that have arrived, up to one batch."""
+        gap_s = time.monotonic() - self.last_read_at
+        is_burst = gap_s <= BURST_GAP_S
+        self.batch_size = min(2 * self.batch_size, BATCH_SIZE) if is_burst else 1
+        self.read_batch()
+        if gap_s < self.poll_interval_s:
+            asyncio.get_running_loop().remove_reader(self.socket.fileno())
+            self.batch_size = BATCH_SIZE
+            self.schedule_poll(self.poll_interval_s)
+
+    def schedule_poll(self, delay_s: float) -> None:
+        """Read the socket after a delay."""
+        self.next_poll = asyncio.get_running_loop().call_later(delay_s, self.poll)
+
+    def poll(self) -> None:
+        """Handle the datagrams that have arrived since the last read at the interval.
+
+        Without any, the socket is read at the next arrival again.
+        """
+        handled = self.read_batch()
+        if handled == BATCH_SIZE:
+            self.schedule_poll(0.0)
+        elif handled:
+            self.schedule_poll(self.poll_interval_s)
+        else:
+            self.next_poll = None
+            asyncio.get_running_loop().add_reader(self.socket.fileno(), self.read)
+
+    def read_batch(self) -> int:
+        """Handle up to `batch_size` datagrams; return their number."""
         if self.pause_detector.check():
             self.pause_detector.drop_pending()
-        is_burst = time.monotonic() - self.last_read_at <= BURST_GAP_S
-        self.batch_size = min(2 * self.batch_size, BATCH_SIZE) if is_burst else 1
-        for _ in range(self.batch_size):
-            if not self.read_one():
-                break
+        handled = 0
+        while handled < self.batch_size and self.read_one():
+            handled += 1
         self.last_read_at = time.monotonic()
+        return handled
 
     def read_one(self) -> bool:
         """Handle one datagram; return False if none was waiting."""
@@ -175,5 +211,7 @@
 
     def close(self) -> None:
         """Close the socket."""
+        if self.next_poll is not None:
+            self.next_poll.cancel()
         asyncio.get_running_loop().remove_reader(self.socket.fileno())
         self.socket.close()
--- a/tests/forwarding/test_sockets.py
+++ b/tests/forwarding/test_sockets.py
@@ -60,10 +60,10 @@
     attempts = 0
     wake_ups = 0
 
-    def read(self) -> None:
+    def read_batch(self) -> int:
         """Count a wake-up."""
         self.wake_ups += 1
-        super().read()
+        return super().read_batch()
 
     def read_one(self) -> bool:
         """Count an attempt."""
@@ -95,3 +95,44 @@
     assert receiver.attempts == 5
     assert received[len(burst) :] == 5 * [b"single"]
     receiver.close()
+
+
+async def test_many_datagrams_that_are_not_urgent_cause_few_wake_ups() -> None:
+    received: list[bytes] = []
+    receiver = CountingSocket(
+        (LOOPBACK, 0),
+        lambda data, _sender: received.append(data),
+        Counters(),
+        PauseDetector(),
+        poll_interval_s=0.02,
+    )
+    sent = [bytes((number,)) for number in range(100)]
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        for data in sent:
+            sender.sendto(data, receiver.socket.getsockname())
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(0.1)
+        assert received == sent
+        assert receiver.wake_ups <= 30
+        # After a while without any, a datagram is handled when it arrives.
+        sender.sendto(b"single", receiver.socket.getsockname())
+        await asyncio.sleep(0.005)
+    assert received[-1] == b"single"
+    receiver.close()
+
+
+async def test_socket_can_be_closed_while_it_is_read_at_an_interval() -> None:
+    receiver = DatagramSocket(
+        (LOOPBACK, 0),
+        lambda _data, _sender: None,
+        Counters(),
+        PauseDetector(),
+        poll_interval_s=0.02,
+    )
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        for _ in range(5):
+            sender.sendto(b"data", receiver.socket.getsockname())
+            await asyncio.sleep(0.002)
+    assert receiver.next_poll is not None
+    receiver.close()
+    await asyncio.sleep(0.05)
