Bound the search for an unknown flow by what an envelope can count

Cause: a packet of a flow that its owner does not know is forwarded from agent to agent, and the number of agents is one byte of the envelope.

Change: the search ends after 250 agents.

Result: test_search_for_a_flow_ends_in_a_service_of_any_size fails before and passes.

--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -40,6 +40,10 @@
 # Flows older than this may be dropped, so an agent that has run for longer has seen the
 # opening of every flow that its backend server holds.
 MAXIMUM_FLOW_AGE_S: Final = 60.0
+# Agents that a packet of an unknown flow is forwarded to: as many as an envelope and a
+# tag can count. The agent that holds the flow notifies a new owner by itself, so in a
+# larger service the flow is found by a retransmission of the packet.
+MAXIMUM_SEARCH_HOPS: Final = 250
 
 
 class FlowDelivery:
@@ -198,7 +202,8 @@
     def forward_to_next_agent(self, packet: FlowPacket, envelope: Envelope) -> None:
         """Forward a packet of a flow that is not here to the next agent of the service.
 
-        The packet is dropped once every agent that is not lost has been asked.
+        The packet is dropped once every agent that is not lost has been asked, or
+        `MAXIMUM_SEARCH_HOPS` of them.
         """
         agents = [
             agent
@@ -206,7 +211,7 @@
             if not agent.lost or agent.name == self.name
         ]
         hops = envelope.hops + 1
-        if hops >= len(agents):
+        if hops >= min(len(agents), MAXIMUM_SEARCH_HOPS):
             self.counters.add("packets_dropped", "flow_not_found")
             key = make_caller_key(packet)
             self.decisions.write("dropped", key, "no agent holds the flow", hops=hops)
--- a/tests/forwarding/test_delivery.py
+++ b/tests/forwarding/test_delivery.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from lentilfork.forwarding.delivery import MAXIMUM_SEARCH_HOPS
 from lentilfork.forwarding.envelopes import Envelope
 from lentilfork.forwarding.envelopes import Kind
 from lentilfork.forwarding.envelopes import encode_envelope
@@ -102,6 +103,26 @@
     assert dropped == 1
 
 
+def test_search_for_a_flow_ends_in_a_service_of_any_size() -> None:
+    world = World([1.0])
+    host = world.hosts["agent-0"]
+    template = host.agent.record
+    host.roster.replace(
+        replace(template, name=f"agent-{number}", address=(f"agent-{number}", 1))
+        for number in range(400)
+    )
+    packet = make_packet((9, 9), (0xC6120001, 443), ACK, 5, 5, b"x")
+    sent: list[bytes] = []
+    host.agent.delivery.send = lambda data, _address: sent.append(data)
+    for hops in range(MAXIMUM_SEARCH_HOPS):
+        envelope = Envelope(
+            Kind.DELIVER, hops, hash_name(SERVICE), 0, 1000, 100, 1, packet
+        )
+        host.handle_datagram(encode_envelope(envelope), ("agent-1", 1))
+    assert len(sent) == MAXIMUM_SEARCH_HOPS - 1
+    assert host.agent.counters.get("packets_dropped", "flow_not_found") == 1
+
+
 def test_refused_syn_retransmission_is_not_reset() -> None:
     world = World([1.0])
     host = world.hosts["agent-0"]
