--- a/src/lentilfork/forwarding/agent.py
+++ b/src/lentilfork/forwarding/agent.py
@@ -292,6 +292,8 @@
             "flows": len(self.flows.flows),
             "owned": len(self.owner.directory.entries),
             "offers": len(self.owner.offers),
+            "watched": sorted(self.exchange.subscribed),
+            "subscribers": len(self.exchange.subscribers),
             "service_time_ms": round(self.flows.service_time_s * 1000, 2),
             "accepting": self.record.accepting,
         }
