Emulate the control plane of forwarded flows in virtual time

Change: lentilfork.bench.emulation runs the real rosters of controllers, members and load exchanges on a network with delays, rates, losses and cuts; `lentilfork-bench control` prints how long it takes until every member knows, who was called lost wrongly, and the messages, bytes and processor time of each role. The clock of the simulation of flows moved there.

--- a/src/lentilfork/bench/command.py
+++ b/src/lentilfork/bench/command.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import tempfile
+from dataclasses import asdict
 from pathlib import Path
 from typing import ClassVar
 from typing import Final
@@ -21,6 +22,10 @@
 from lentilfork.bench.deployment import Deployment
 from lentilfork.bench.description import DeploymentDescription
 from lentilfork.bench.description import load_description
+from lentilfork.bench.emulation import SCENARIOS
+from lentilfork.bench.emulation import PlaneSize
+from lentilfork.bench.emulation import ScenarioResult
+from lentilfork.bench.emulation import run_scenario
 from lentilfork.bench.experiment import SYSTEMS
 from lentilfork.bench.experiment import draw_load_trace
 from lentilfork.bench.experiment import make_faults
@@ -150,6 +155,61 @@
         return 0
 
 
+class ControlCommand(Command):
+    """Emulates the control plane of forwarded flows in virtual time."""
+
+    name = "control"
+    description = "Emulate controllers and hundreds of members in virtual time."
+    help = """\
+Prints how long it takes until every member knows of a change or a loss, how many
+reachable agents were called lost, and what each role costs while nothing changes.
+
+Examples:
+  lentilfork-bench control
+  lentilfork-bench control --members 300 --scenarios start,power-loss --loss 0.01
+"""
+    options: ClassVar[list[Option]] = [
+        option("members", "m", "balancers and agents", flag=False, default="100"),
+        option("scenarios", None, "which", flag=False, default=",".join(SCENARIOS)),
+        option("loss", None, "share of lost datagrams", flag=False, default="0"),
+        option("seed", "s", "seed", flag=False, default="1"),
+        option("out", "o", "JSON file to write", flag=False, default=""),
+    ]
+
+    def handle(self) -> int:
+        """Run the scenarios; returns 1 if some member did not learn of a change."""
+        size = PlaneSize(int(self.option("members")))
+        seed, loss_share = int(self.option("seed")), float(self.option("loss"))
+        selected = self.option("scenarios").split(",")
+        unknown = sorted(set(selected) - SCENARIOS.keys())
+        if unknown:
+            self.line_error(f"unknown scenarios: {', '.join(unknown)}")
+            return 2
+        results = []
+        for name in selected:
+            results.append(run_scenario(name, size, seed, loss_share))
+            self.print_result(results[-1])
+        if self.option("out"):
+            text = json.dumps([asdict(result) for result in results], indent=2)
+            Path(self.option("out")).write_text(text + "\n", encoding="utf-8")
+        return int(any(result.known_s is None for result in results))
+
+    def print_result(self, result: ScenarioResult) -> None:
+        """Print what a scenario has measured."""
+        known = "not known" if result.known_s is None else f"{result.known_s:.2f} s"
+        self.line(
+            f"{result.scenario}: {known}, {result.falsely_lost} called lost wrongly"
+        )
+        for cost in result.costs:
+            self.line(
+                f"  {cost.role} ({cost.processes}): {cost.messages_sent:.1f} messages "
+                f"and {cost.bytes_sent:.0f} bytes sent a second, "
+                f"{cost.far_bytes_sent:.0f} of them to other data centres; "
+                f"{cost.messages_received:.1f} messages received; "
+                f"{cost.cores:.5f} cores"
+            )
+
+
 class CapacityCommand(Command):
     """Measures the cost of each additional member, change, packet, flow or record."""
 
@@ -246,4 +306,5 @@
     application.add(FlowsCommand())
     application.add(RecordCommand())
     application.add(CapacityCommand())
+    application.add(ControlCommand())
     return application.run()
--- /dev/null
+++ b/src/lentilfork/bench/emulation/__init__.py
@@ -0,0 +1,14 @@
+"""Emulation of the control plane of forwarded flows in virtual time.
+
+Real controllers' rosters, members and load exchanges, with neither processes nor
+sockets: hundreds of hosts on links with a rate, a delay and losses. Runs are
+reproducible by their seed.
+"""
+
+from lentilfork.bench.emulation.plane import ControlPlane
+from lentilfork.bench.emulation.plane import PlaneSize
+from lentilfork.bench.emulation.scenarios import SCENARIOS
+from lentilfork.bench.emulation.scenarios import ScenarioResult
+from lentilfork.bench.emulation.scenarios import run_scenario
+
+__all__ = ["SCENARIOS", "ControlPlane", "PlaneSize", "ScenarioResult", "run_scenario"]
--- /dev/null
+++ b/src/lentilfork/bench/emulation/network.py
@@ -0,0 +1,106 @@
+"""Emulated network: datagrams between hosts, with delays, rates, losses and cuts."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Final
+
+from lentilfork.bench.emulation.clock import VirtualClock
+
+__all__ = ["EmulatedNetwork", "Link", "Traffic"]
+
+SocketName = tuple[str, int]
+Handler = Callable[[bytes, SocketName], None]
+# Bytes of the IPv4 and UDP headers of a datagram.
+HEADER_BYTES: Final = 28
+NEAR_DELAY_S: Final = 0.0003
+FAR_DELAY_S: Final = 0.0012
+# A datagram that would wait for longer in the queue of a link is dropped.
+MAXIMUM_QUEUE_S: Final = 0.5
+
+
+@dataclass(slots=True)
+class Traffic:
+    """Datagrams that a host has sent and received, and their bytes with headers."""
+
+    sent: int = 0
+    sent_bytes: int = 0
+    received: int = 0
+    received_bytes: int = 0
+    far_bytes: int = 0
+    dropped: int = 0
+
+
+@dataclass(slots=True)
+class Link:
+    """Link of one host."""
+
+    data_centre: str
+    bytes_per_s: float
+    # Handles the datagrams that arrive; None while the host does not run.
+    handler: Handler | None = None
+    # Until this time the link transmits datagrams that were sent before.
+    busy_until: float = 0.0
+    traffic: Traffic = field(default_factory=Traffic)
+
+
+class EmulatedNetwork:
+    """Hosts by address, and what is wrong with the paths between them."""
+
+    clock: VirtualClock
+    rng: random.Random
+    # Share of the datagrams that get lost.
+    loss_share: float
+    links: dict[SocketName, Link]
+    # Addresses of hosts that neither send nor receive, and that only cannot send.
+    cut: set[SocketName]
+    muted: set[SocketName]
+
+    def __init__(self, clock: VirtualClock, rng: random.Random) -> None:
+        self.clock = clock
+        self.rng = rng
+        self.loss_share = 0.0
+        self.links = {}
+        self.cut = set()
+        self.muted = set()
+
+    def attach(self, address: SocketName, data_centre: str, bytes_per_s: float) -> Link:
+        """Add the link of a host, which does not run yet."""
+        link = self.links[address] = Link(data_centre, bytes_per_s)
+        return link
+
+    def send(self, sender: SocketName, data: bytes, address: SocketName) -> None:
+        """Send a datagram, which arrives after its delay or gets lost."""
+        source, target = self.links[sender], self.links.get(address)
+        size = len(data) + HEADER_BYTES
+        now = self.clock.now
+        source.traffic.sent += 1
+        source.traffic.sent_bytes += size
+        if target is None or self.is_lost(sender, address):
+            source.traffic.dropped += 1
+            return
+        begins_at = max(now, source.busy_until)
+        if begins_at - now > MAXIMUM_QUEUE_S:
+            source.traffic.dropped += 1
+            return
+        source.busy_until = begins_at + size / source.bytes_per_s
+        is_far = source.data_centre != target.data_centre
+        if is_far:
+            source.traffic.far_bytes += size
+        arrives_at = source.busy_until + (FAR_DELAY_S if is_far else NEAR_DELAY_S)
+        self.clock.call_at(arrives_at, lambda: self.receive(target, data, sender))
+
+    def is_lost(self, sender: SocketName, address: SocketName) -> bool:
+        """Return whether a datagram between two hosts gets lost."""
+        if sender in self.cut or address in self.cut or sender in self.muted:
+            return True
+        return self.rng.random() < self.loss_share
+
+    def receive(self, link: Link, data: bytes, sender: SocketName) -> None:
+        """Pass a datagram to the host at the end of a link."""
+        if link.handler is None:
+            return
+        link.traffic.received += 1
+        link.traffic.received_bytes += len(data) + HEADER_BYTES
+        link.handler(data, sender)
--- /dev/null
+++ b/tests/bench/emulation/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the emulated control plane."""
--- a/tests/forwarding/simulation.py
+++ b/tests/forwarding/simulation.py
@@ -14,6 +14,7 @@
 from functools import partial
 from itertools import count
 
+from lentilfork.bench.emulation.clock import VirtualClock
 from lentilfork.counters import Counters
 from lentilfork.forwarding.agent import FlowAgent
 from lentilfork.forwarding.backend_server import BackendServer
@@ -46,30 +47,6 @@
 CODEC = HeaderCodec()
 
 
-class Clock:
-    """Virtual time and a queue of future events."""
-
-    def __init__(self) -> None:
-        self.now = 0.0
-        self.events: list[tuple[float, int, Callable[[], object]]] = []
-        self.event_numbers = count()
-
-    def call_at(self, at_s: float, call: Callable[[], object]) -> None:
-        """Schedule a call for a time."""
-        heapq.heappush(self.events, (at_s, next(self.event_numbers), call))
-
-    def call_in(self, delay_s: float, call: Callable[[], object]) -> None:
-        """Schedule a call after a delay."""
-        self.call_at(self.now + delay_s, call)
-
-    def run(self, until_s: float) -> None:
-        """Run all events up to a time."""
-        while self.events and self.events[0][0] <= until_s:
-            self.now, _, call = heapq.heappop(self.events)
-            call()
-        self.now = until_s
-
-
 def make_packet(
     source: tuple[int, int],
     destination: tuple[int, int],
@@ -312,7 +289,7 @@
 
     def __init__(self, speeds: list[float], slots: int = 1, seed: int = 1) -> None:
         self.rng = random.Random(seed)
-        self.clock = Clock()
+        self.clock = VirtualClock()
         self.hosts: dict[str, AgentHost] = {}
         self.balancers: dict[str, list[FlowBalancer]] = {}
         self.requests: list[Request] = []
