--- a/tools/scores.py
+++ b/tools/scores.py
@@ -40,7 +40,7 @@
     for day in entry["days"]:
         parts = {name: value for name, _, value in day["parts"]}
         broken = sum(day["rules"].values()) if day["rules"] else 0
-        size = " (small twin)" if day["size"] or "--small" in entry["argv"] else ""
+        size = " (small twin)" if "--small" in entry["argv"] else ""
         yield (
             "| "
             + " | ".join(
