Tell the caller of a killed runner before it gives up

Not the load, but the few milliseconds between claim and run decide whether it shows.

Ruled out: told at once again, since work of a silent runner would be given up; a shorter wait for every duplicate, since a holder that is a member may answer at its deadline.

Change: the wait is checked every 0.5 s; once all holders are removed, a retransmission of the same exchange stops waiting 3 s earlier, the longest time to a first retransmission.

Not on the path of forwarded flows.

--- a/src/lentilfork/at_most_once.py
+++ b/src/lentilfork/at_most_once.py
@@ -42,6 +42,12 @@
 # Part of the deadline that is reserved for recording a refusal and answering.
 REFUSAL_MARGIN_S: Final = 0.2
 REFUSAL_TIMEOUT_S: Final = 1.0
+# Longest time after which a message is first retransmitted (RFC 7252: ACK_TIMEOUT times
+# ACK_RANDOM_FACTOR). The caller of a retransmission gives up earlier by up to this time
+# than its deadline, which is counted from the arrival, says.
+FIRST_RETRANSMISSION_S: Final = 3.0
+# Interval at which a duplicate that waits checks whether the holder is still a member.
+HOLDER_CHECK_INTERVAL_S: Final = 0.5
 MAXIMUM_REFUSALS_PER_S: Final = 20.0
 # Limits the claims that wait for votes, so that slow voters do not get more of them.
 MAXIMUM_PENDING_CLAIMS: Final = 32
@@ -158,21 +164,34 @@
         self, job: Job, key: bytes, exchange: bytes, held: claims.HeldElsewhere
     ) -> Answer | None:
         """Return the answer of the attempt with the claim; None to claim it again."""
-        if not self.may_be_running(held):
-            self.counters.add("copies", "runner lost")
-            return make_outcome_unknown_answer()
-        wait_outcome = await self.client.wait_for_answer(
-            job.service.name, key, exchange, job.deadline - REFUSAL_MARGIN_S
-        )
-        if isinstance(wait_outcome, claims.AlreadyDone):
-            self.counters.add("copies", "answered by claim")
-            return decode_stored_answer(job, wait_outcome.answer)
-        if isinstance(wait_outcome, claims.RefusedBefore):
-            return make_not_run_answer(RETRY_AFTER_S)
-        if isinstance(wait_outcome, claims.Released):
-            return None
+        while self.may_be_running(held):
+            now = time.monotonic()
+            limit = job.deadline - REFUSAL_MARGIN_S
+            if held.same_exchange and self.is_removed(held):
+                limit -= FIRST_RETRANSMISSION_S
+            if now >= limit:
+                break
+            wait_outcome = await self.client.wait_for_answer(
+                job.service.name,
+                key,
+                exchange,
+                min(limit, now + HOLDER_CHECK_INTERVAL_S),
+            )
+            if isinstance(wait_outcome, claims.AlreadyDone):
+                self.counters.add("copies", "answered by claim")
+                return decode_stored_answer(job, wait_outcome.answer)
+            if isinstance(wait_outcome, claims.RefusedBefore):
+                return make_not_run_answer(RETRY_AFTER_S)
+            if isinstance(wait_outcome, claims.Released):
+                return None
+        self.counters.add("copies", "runner lost")
         return make_outcome_unknown_answer()
 
+    def is_removed(self, held: claims.HeldElsewhere) -> bool:
+        """Return whether no runner that holds the claim is a member any more."""
+        agents = self.read_state().agents
+        return not any(runner.agent in agents for runner in held.runners)
+
     def may_be_running(self, held: claims.HeldElsewhere) -> bool:
         """Return whether any runner that holds the claim may still answer.
 
--- a/src/lentilfork/claims/outcomes.py
+++ b/src/lentilfork/claims/outcomes.py
@@ -93,6 +93,9 @@
 
     # The runners of the other attempts that the voters reported.
     runners: tuple[Voter, ...]
+    # Whether one of those attempts is for the same exchange, whose first message was
+    # sent earlier then.
+    same_exchange: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/lentilfork/claims/rounds.py
+++ b/src/lentilfork/claims/rounds.py
@@ -58,15 +58,19 @@
             for holder in reply.record.holders
         )
 
-    def list_runners(self, excluded_id: bytes) -> tuple[Voter, ...]:
-        """Return the sorted runners of all holders other than `excluded_id`."""
-        runners = {
-            Voter(holder.runner, holder.runner_incarnation)
+    def describe_holders(self, grant: Grant) -> HeldElsewhere:
+        """Return the holders other than the attempt of `grant`."""
+        holders = [
+            holder
             for reply in self.replies.values()
             for holder in reply.record.holders
-            if holder.id != excluded_id
-        }
-        return tuple(sorted(runners))
+            if holder.id != grant.attempt.id
+        ]
+        runners = {Voter(item.runner, item.runner_incarnation) for item in holders}
+        exchanges = {item.exchange for item in holders}
+        return HeldElsewhere(
+            tuple(sorted(runners)), grant.attempt.exchange in exchanges
+        )
 
 
 def evaluate_claim(votes: Round, grant: Grant) -> ClaimOutcome | None:
@@ -81,7 +85,7 @@
     other_holders = votes.count_holders()
     del other_holders[grant.attempt.id]
     if any(count >= votes.majority for count in other_holders.values()):
-        return HeldElsewhere(votes.list_runners(excluded_id=grant.attempt.id))
+        return votes.describe_holders(grant)
     return None
 
 
@@ -93,7 +97,7 @@
     own attempt.
     """
     if any(holder < grant.attempt.id for holder in votes.count_holders()):
-        return HeldElsewhere(votes.list_runners(excluded_id=grant.attempt.id))
+        return votes.describe_holders(grant)
     return None
 
 
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -1,5 +1,7 @@
 """Duplicates of a non-idempotent request whose claim another agent holds."""
 
+import asyncio
+import time
 from dataclasses import dataclass
 from dataclasses import field
 from typing import Any
@@ -66,7 +68,7 @@
 
     service: FakeService = field(default_factory=FakeService)
     request: Request | None = None
-    deadline: float = 5.0
+    deadline: float = field(default_factory=lambda: time.monotonic() + 5.0)
 
 
 @pytest.mark.parametrize("name", CASES)
@@ -87,6 +89,39 @@
     assert (answer is None) is case.may_answer
 
 
+class SilentClient(FakeClient):
+    """A claim client whose holder never answers; waiting takes no time."""
+
+    async def wait_for_answer(
+        self, _service: str, key: bytes, _exchange: bytes, deadline: float
+    ) -> claims.WaitOutcome:
+        """Return that nothing is known at the deadline, once that has passed."""
+        self.waited.append(key)
+        await asyncio.sleep(max(deadline - time.monotonic(), 0))
+        return claims.NoQuorum()
+
+
+@pytest.mark.parametrize("same_exchange", [True, False])
+async def test_caller_of_a_killed_runner_is_told_before_it_gives_up(
+    *, same_exchange: bool
+) -> None:
+    # A retransmission arrives up to 3 s after the first message, so its caller gives up
+    # that much earlier than the deadline counted from its arrival.
+    client: Any = SilentClient()
+    runner = ClaimingRunner(client, ClusterState, Counters())
+    started_at = time.monotonic()
+    job: Any = FakeJob(deadline=started_at + 4.0)
+    held = claims.HeldElsewhere((HOLDER,), same_exchange)
+    answer = await runner.wait_for_answer(job, b"key", b"exchange", held)
+    waited_s = time.monotonic() - started_at
+    assert answer is not None
+    assert answer.code == OUTCOME_UNKNOWN_CODE
+    if same_exchange:
+        assert 0.5 <= waited_s <= 1.0
+    else:
+        assert 3.5 <= waited_s <= 4.0
+
+
 def make_job(path: str, payload: bytes = b"", query: tuple[str, ...] = ()) -> Any:
     """Return a job of a report with the message id and token that all jobs have."""
     request = Request(7, b"tok", True, "POST", (path,), query, payload, 0, 6)
