--- a/review/common/stand.py
+++ b/review/common/stand.py
@@ -781,14 +781,27 @@
     ip: str
     service: str = ""
     disk: bool = False
-    roles: dict = field(default_factory=dict)
+    # Whether the deploy file puts a controller on it.
+    controls: bool = False
 
 
 class Fleet:
     """A small deployment: machines, the system's processes and all stand-ins."""
 
-    def __init__(self, folder, *, seed=1, heartbeat_ms=1200, idle_timeout_ms=15_000):
+    def __init__(
+        self,
+        folder,
+        *,
+        seed=1,
+        heartbeat_ms=1200,
+        idle_timeout_ms=15_000,
+        tolerance=1,
+        bounds=None,
+    ):
         self.record = Record(folder)
+        # Number of counted machines that may be lost at once.
+        self.tolerance = tolerance
+        self.bounds = BOUNDS | (bounds or {})
         self.rng = random.Random(seed)
         self.heartbeat_s = heartbeat_ms / 1000
         self.idle_timeout_ms = idle_timeout_ms
@@ -797,6 +810,7 @@
         self.run_lines = {
             name: role["run"].split() for name, role in deploy["roles"].items()
         }
+        self.controllers_per_zone = deploy["roles"]["controller"]["count"]
         self.net = random.SystemRandom().randrange(16, 250)
         self.machines = {}
         # Machines so far; an address is not used twice.
@@ -822,7 +836,13 @@
         self.count += 1
         index = self.count
         ip = f"127.{self.net}.1.{index}"
-        self.machines[name] = Machine(name, kind, zone, ip, service, disk)
+        others = [
+            item
+            for item in self.machines.values()
+            if item.zone == zone and item.controls
+        ]
+        controls = kind == "edge" and len(others) < self.controllers_per_zone
+        self.machines[name] = Machine(name, kind, zone, ip, service, disk, controls)
         return self.machines[name]
 
     def reserve(self, machines):
@@ -858,11 +878,11 @@
         raise CannotRunError("no free ports")
 
     def list_seeds(self):
-        """Return the control addresses of the machines with a disk, three at most."""
+        """Return the control addresses of three machines, or fewer."""
         return [
             f"{machine.ip}:{self.ports['control']}"
             for machine in self.machines.values()
-            if machine.disk
+            if machine.controls
         ][:3]
 
     def write_settings(self, machine, role):
@@ -921,8 +941,12 @@
                 "link_mbps": 1000.0,
                 "disk_mb": 64 if machine.disk else 0,
             },
-            "fault_tolerance": {"machines": 1, "zones": 0, "regions": 0},
-            "bounds": BOUNDS,
+            "fault_tolerance": {
+                "machines": self.tolerance,
+                "zones": 0,
+                "regions": 0,
+            },
+            "bounds": self.bounds,
         }
         lines = [f"{key} = {json.dumps(value)}" for key, value in values.items()]
         for table, content in tables.items():
@@ -978,7 +1002,7 @@
 
     def start_edge(self, machine):
         """Start the processes of an edge machine and the routers' checks of it."""
-        if machine.disk:
+        if machine.controls:
             self.start_process(machine, "controller")
         self.start_process(machine, "balancer")
         self.rotation[machine.name] = False
@@ -1072,7 +1096,7 @@
         """Send the next configuration until it is acknowledged."""
         self.version += 3
         body = json.dumps(self.make_configuration(self.version)).encode()
-        controls = [item for item in self.machines.values() if item.disk]
+        controls = [item for item in self.machines.values() if item.controls]
         deadline = time.monotonic() + timeout
         attempt = 0
         while time.monotonic() < deadline:
@@ -1092,7 +1116,7 @@
     async def read_back(self, duration_s):
         """Read the configuration repeatedly; return the versions that came."""
         versions = []
-        controls = [item for item in self.machines.values() if item.disk]
+        controls = [item for item in self.machines.values() if item.controls]
         deadline = time.monotonic() + duration_s
         attempt = 0
         while time.monotonic() < deadline:
