--- a/review/common/stand.py
+++ b/review/common/stand.py
@@ -1246,6 +1246,8 @@
     `play(fleet, trouble)` returns the list of breaks that it found.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # A stop from outside also ends the processes that were started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     if not (ROOT / "target/deps").is_dir():
         print("target/deps is missing: run the build of the deploy file")
         sys.exit(2)
