--- a/review/5/case.py
+++ b/review/5/case.py
@@ -18,7 +18,12 @@
 OPENING_S = 0.2
 TAIL_S = 4.0
 PAUSE_S = 0.4
-BODY_BYTES = 12_000
+# At first the clients are busier.
+BUSY_S = 1.0
+BUSY_PAUSE_S = 0.03
+BODY_BYTES = 40_000
+# Deadline of the requests.
+DEADLINE_S = 5.0
 WARM_FLOWS = 300
 WARM_GAP_S = 0.01
 
@@ -32,10 +37,12 @@
     for wait in done:
         wait.cancel()
     count = 0
+    busy_until = time.monotonic() + BUSY_S
     while time.monotonic() < stop_at and not flow.ended.is_set():
         count += 1
-        await flow.request(f"{flow.name}-{count}", 1.0)
-        await asyncio.sleep(PAUSE_S)
+        await flow.request(f"{flow.name}-{count}", DEADLINE_S)
+        busy = time.monotonic() < busy_until
+        await asyncio.sleep(BUSY_PAUSE_S if busy else PAUSE_S)
 
 
 async def use_once(client, route, delay_s):
@@ -52,12 +59,14 @@
     for zone in zones:
         fleet.add_machine(f"edge-{zone}-1", "edge", zone, disk=True)
     sides = [
-        fleet.add_machine(f"side-{zone}-{n}", "side", zone, service="signal-desk")
+        fleet.add_machine(f"side-{zone}-{n}", "side", zone, service="pack-store")
         for zone in zones
         for n in (1, 2)
     ]
     await fleet.start()
-    route = fleet.add_route("warning-fetch", "signal-desk", 1)
+    route = fleet.add_route(
+        "artwork-pack", "pack-store", 1, type="download", timeout_ms=5000
+    )
     for index, side in enumerate(sides, 1):
         await fleet.add_endpoint(side, f"i-{index:08x}", slots=1, body_bytes=BODY_BYTES)
     await fleet.configure()
