agreement: log why an election found no majority

A failed attempt now names the voters by ballot, once for each distinct outcome; a start logs the folder's id, vote and log, and a change of the controllers names them.

--- a/src/lentilfork/agreement/election.py
+++ b/src/lentilfork/agreement/election.py
@@ -9,6 +9,8 @@
 
 import asyncio
 from collections.abc import Callable
+from enum import Enum
+from enum import unique
 from typing import Final
 
 from lentilfork.agreement.core import ELECTION_TIMEOUT_MAX_S
@@ -28,10 +30,25 @@
 VOTE_TIMEOUT_S: Final = 0.5
 
 
+@unique
+class Ballot(Enum):
+    """Outcome of one vote request."""
+
+    GRANTED = "granted"
+    REFUSED = "refused"
+    # No reply in time.
+    SILENT = "silent"
+    # Granted with another data folder than the one that has the vote.
+    OTHER_FOLDER = "other_folder"
+
+
 class Election:
     """Votes for candidates and campaigns to become the leader."""
 
     core: Core
+    # Voters by the ballot of the last failed attempt; empty after a successful one. An
+    # attempt that fails in the same way is not logged again.
+    reported: dict[Ballot, list[str]]
     # Called with the core's lock held after this replica won an election.
     on_elected: Callable[[], None]
     # Set when the leader asks this replica to campaign without waiting for the
@@ -41,6 +58,7 @@
     def __init__(self, core: Core, on_elected: Callable[[], None]) -> None:
         self.core = core
         self.on_elected = on_elected
+        self.reported = {}
         self.campaign_requested = asyncio.Event()
 
     async def run(self) -> None:
@@ -112,26 +130,58 @@
             disk_id=core.storage.disk_id,
         )
         configuration = core.configuration
-        granted = {core.name}
+        ballots = {core.name: Ballot.GRANTED}
         others = [item for item in list_voters(configuration) if item.name != core.name]
         pending_calls = {
             asyncio.create_task(self.request_vote(voter, request)) for voter in others
         }
         try:
-            while pending_calls and not has_majority(configuration, granted):
+            while pending_calls and not has_majority(
+                configuration, list_granted(ballots)
+            ):
                 done, pending_calls = await asyncio.wait(
                     pending_calls, return_when=asyncio.FIRST_COMPLETED
                 )
-                granted |= {call.result() for call in done}
+                ballots |= (call.result() for call in done)
         finally:
             for call in pending_calls:
                 call.cancel()
-        return has_majority(configuration, granted)
+        elected = has_majority(configuration, list_granted(ballots))
+        self.report(request, ballots, elected=elected)
+        return elected
+
+    def report(
+        self,
+        request: agreement_pb2.VoteRequest,
+        ballots: dict[str, Ballot],
+        *,
+        elected: bool,
+    ) -> None:
+        """Log why an attempt found no majority, unless the last one was the same."""
+        if elected:
+            self.reported = {}
+            return
+        by_ballot = {
+            ballot: sorted(name for name in ballots if ballots[name] is ballot)
+            for ballot in Ballot
+        }
+        if by_ballot == self.reported:
+            return
+        self.reported = by_ballot
+        log.warning(
+            "no majority of votes",
+            term=request.term,
+            pre_vote=request.pre_vote,
+            voters=len(list_voters(self.core.configuration)),
+            last_index=request.last_index,
+            last_term=request.last_term,
+            **{ballot.value: ",".join(names) for ballot, names in by_ballot.items()},
+        )
 
     async def request_vote(
         self, voter: Controller, request: agreement_pb2.VoteRequest
-    ) -> str:
-        """Request the vote of one voter; return its name if it granted, else ""."""
+    ) -> tuple[str, Ballot]:
+        """Request the vote of one voter; return its name and ballot."""
         core = self.core
         try:
             reply = await core.transport.request_vote(
@@ -139,13 +189,13 @@
             )
         except TransportError:
             core.counters.add("agreement_call_errors", "vote")
-            return ""
+            return voter.name, Ballot.SILENT
         if reply.term > core.term:
             await self.observe_term(reply.term)
         if reply.granted and reply.disk_id != voter.disk_id:
             core.counters.add("agreement_unknown_disks", "vote")
-            return ""
-        return voter.name if reply.granted else ""
+            return voter.name, Ballot.OTHER_FOLDER
+        return voter.name, Ballot.GRANTED if reply.granted else Ballot.REFUSED
 
     async def observe_term(self, term: int) -> None:
         """Adopt the term of a peer if it is later than the current one."""
@@ -214,3 +264,8 @@
         if granted:
             core.leader_contact_s = core.get_time_s()
         return granted
+
+
+def list_granted(ballots: dict[str, Ballot]) -> list[str]:
+    """Return the names of the voters that granted their vote."""
+    return [name for name, ballot in ballots.items() if ballot is Ballot.GRANTED]
--- a/src/lentilfork/agreement/joining.py
+++ b/src/lentilfork/agreement/joining.py
@@ -229,7 +229,16 @@
         )
         reply = await self.proposals.submit(change, ADMIT_TIMEOUT_S)
         if reply.result.outcome == state_pb2.ACCEPTED:
-            log.info("controller configuration changed", state=state)
+            log.info(
+                "controller configuration changed",
+                state=state,
+                voters=",".join(item.name for item in list_voters(configuration)),
+                others=",".join(
+                    sorted(
+                        name for name in configuration if not configuration[name].voter
+                    )
+                ),
+            )
             return state
         return reply.result.message or reply.unknown or reply.refused or "waiting"
 
--- a/src/lentilfork/agreement/replica.py
+++ b/src/lentilfork/agreement/replica.py
@@ -38,6 +38,7 @@
 from lentilfork.agreement.transport import GrpcTransport
 from lentilfork.agreement.transport import Transport
 from lentilfork.agreement.voters import Configurations
+from lentilfork.agreement.voters import list_voters
 from lentilfork.channels import Channels
 from lentilfork.counters import Counters
 from lentilfork.errors import Failure
@@ -165,6 +166,15 @@
             self.counters.add("agreement_unknown_disks", "own")
         core.leader_contact_s = core.get_time_s()
         self.running = True
+        log.info(
+            "log opened",
+            disk_id=f"{core.storage.disk_id:016x}",
+            voter=core.is_voter,
+            voters=len(list_voters(core.configuration)),
+            term=core.term,
+            last_index=core.log.last_index,
+            commit_index=core.commit_index,
+        )
         self.tasks = [
             start_task(core.log.run_writer(), "write log"),
             start_supervised(self.election.run, "elections"),
