Give a vote to as many controllers as the tolerated losses need

A majority of four is three, so two lost disks leave no majority and no leader may be elected.

Change: two controllers for each data centre; every controller with a disk votes, and one on a host without a disk follows the log in memory and passes operators' calls on. All vote, instead of 2 x losses + 1 of them: then any majority of the hosts with a disk can elect a leader. At the first start, the seeds that have a disk are the first voters. Members announce themselves to voters only, so hosts without a disk add no traffic.

--- a/src/lentilfork/agreement/core.py
+++ b/src/lentilfork/agreement/core.py
@@ -134,12 +134,18 @@
     @property
     def is_voter(self) -> bool:
         """Whether this replica has a vote with its present data folder."""
+        return self.is_admitted and self.configuration[self.name].voter
+
+    @property
+    def is_admitted(self) -> bool:
+        """Whether this replica is in the configuration with its present folder."""
         member = self.configuration.get(self.name)
-        return (
-            member is not None
-            and member.voter
-            and member.disk_id == self.storage.disk_id
-        )
+        return member is not None and member.disk_id == self.storage.disk_id
+
+    @property
+    def has_disk(self) -> bool:
+        """Whether what this replica syncs is kept when its process ends."""
+        return self.settings.data_folder is not None
 
     @property
     def is_fresh(self) -> bool:
--- a/src/lentilfork/agreement/files.py
+++ b/src/lentilfork/agreement/files.py
@@ -16,7 +16,7 @@
 from typing import Protocol
 from typing import TypeVar
 
-__all__ = ["FileFingerprint", "Files", "OsFiles"]
+__all__ = ["FileFingerprint", "Files", "MemoryFiles", "OsFiles", "open_files"]
 
 LOCK_NAME: Final = "lock"
 TEMPORARY_SUFFIX: Final = ".tmp"
@@ -177,6 +177,56 @@
         sync_folder(self.folder)
 
 
+class MemoryFiles:
+    """`Files` in memory, for a replica without a disk; they end with the process."""
+
+    location: str
+    content: dict[str, bytearray]
+
+    def __init__(self) -> None:
+        self.location = "memory"
+        self.content = {}
+
+    def open(self) -> None:
+        """Do nothing: no other process has access."""
+
+    def close(self) -> None:
+        """Do nothing: there is neither a descriptor nor a pending write."""
+
+    def list_names(self) -> list[str]:
+        """Return the names of all files, sorted."""
+        return sorted(self.content)
+
+    def read(self, name: str) -> bytes:
+        """Return the content of a file."""
+        return bytes(self.content[name])
+
+    def get_fingerprint(self, name: str) -> FileFingerprint:
+        """Return a constant: nothing copies files in memory."""
+        return (0, 0)
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file to `size` bytes."""
+        del self.content[name][size:]
+
+    def remove(self, name: str) -> None:
+        """Remove a file."""
+        self.content.pop(name, None)
+
+    async def append(self, name: str, data: bytes) -> None:
+        """Append to a file."""
+        self.content.setdefault(name, bytearray()).extend(data)
+
+    async def replace(self, name: str, data: bytes) -> None:
+        """Replace a file."""
+        self.content[name] = bytearray(data)
+
+
+def open_files(folder: Path | None) -> Files:
+    """Return the files of a folder, or files in memory if there is none."""
+    return MemoryFiles() if folder is None else OsFiles(folder)
+
+
 def write_all(descriptor: int, data: bytes) -> None:
     """Write all of `data`, continuing after short writes.
 
--- a/src/lentilfork/agreement/joining.py
+++ b/src/lentilfork/agreement/joining.py
@@ -1,11 +1,12 @@
 """Bootstrapping a new cluster and joining a running one.
 
-Bootstrap: the controller with the lowest name writes the first entry, which lists
-the data folders of all controllers in its settings, after each of them answered
-that its log is empty. Any majority that acknowledged an entry contains a replica
-whose log is not empty, so a replica with an emptied folder cannot start a second
-history. The term of the first entry is random, so that two attempts from different
-folders never write different entries with the same index and term.
+Bootstrap: of the controllers in the settings that have a disk, the one with the
+lowest name writes the first entry, which lists their data folders, after all
+controllers in the settings answered that their logs are empty. Any majority that
+acknowledged an entry contains a replica whose log is not empty, so a replica with an
+emptied folder cannot start a second history. The term of the first entry is random,
+so that two attempts from different folders never write different entries with the
+same index and term.
 
 Joining: a replica without a vote asks the leader for admission. It has no vote if
 it is new or if its folder is not the one with which it was admitted. The leader
@@ -70,21 +71,27 @@
         while True:
             if core.is_fresh and await self.may_bootstrap():
                 await self.bootstrap()
-            elif not core.is_voter:
+            elif self.needs_admission():
                 await self.request_admission()
             await asyncio.sleep(JOIN_INTERVAL_S)
 
+    def needs_admission(self) -> bool:
+        """Return whether this replica lacks a vote or, without a disk, its entry."""
+        core = self.core
+        return not (core.is_voter if core.has_disk else core.is_admitted)
+
     async def may_bootstrap(self) -> bool:
         """Return whether this replica may write the first entry of a new cluster."""
-        peers = self.core.settings.controllers
-        if not self.core.settings.may_begin:
-            return False
-        if self.core.name != min(peer.name for peer in peers):
+        core = self.core
+        names = {peer.name for peer in core.settings.controllers}
+        if not core.settings.may_begin or not core.has_disk or core.name not in names:
             return False
         replies = await self.identify_peers()
-        return len(replies) == len(peers) - 1 and all(
-            reply.fresh for reply in replies.values()
-        )
+        if replies.keys() != names - {core.name}:
+            return False
+        # A controller without a disk has forgotten whether there was an entry.
+        stored = [reply for reply in replies.values() if reply.disk_id != 0]
+        return all(reply.fresh and core.name < reply.name for reply in stored)
 
     async def identify_peers(self) -> dict[str, agreement_pb2.IdentifyReply]:
         """Return the identities of the other controllers that answered, by name."""
@@ -102,7 +109,7 @@
         }
 
     async def bootstrap(self) -> None:
-        """Write the first entry, which makes all controllers of the settings voters."""
+        """Write the first entry: all controllers of the settings with a disk vote."""
         core = self.core
         replies = await self.identify_peers()
         disk_ids = {name: reply.disk_id for name, reply in replies.items()}
@@ -110,10 +117,12 @@
         peers = core.settings.controllers
         if len(disk_ids) != len(peers):
             return
-        controllers = encode_configuration(
+        voters = [
             Controller(peer.name, peer.address, True, disk_ids[peer.name])
             for peer in peers
-        )
+            if disk_ids[peer.name] != 0
+        ]
+        controllers = encode_configuration(voters)
         change = state_pb2.Change(
             change_id=f"first-{core.storage.disk_id:016x}",
             put_controllers=controllers,
@@ -129,7 +138,7 @@
                 return
             entry = agreement_pb2.LogEntry(index=1, term=term, change=change)
             core.append([entry])
-        log.info("bootstrapped a new cluster", voters=len(peers))
+        log.info("bootstrapped a new cluster", voters=len(voters))
 
     async def request_admission(self) -> None:
         """Send a join request to the known controllers until the leader answers."""
@@ -196,6 +205,9 @@
         """Promote a learner that caught up if a vote is vacant; return its state."""
         unresponsive = find_unresponsive_voter(leadership)
         voters = len(list_voters(configuration))
+        promoted = configuration | {learner.name: replace(learner, voter=True)}
+        if self.core.settings.tolerated_losses is not None:
+            return await self.propose_configuration(promoted, "voter")
         if unresponsive is not None:
             demoted = replace(unresponsive, voter=False)
             return await self.propose_configuration(
@@ -203,10 +215,7 @@
             )
         if voters >= self.get_target_voter_count(configuration):
             return "spare"
-        promoted = replace(learner, voter=True)
-        return await self.propose_configuration(
-            configuration | {learner.name: promoted}, "voter"
-        )
+        return await self.propose_configuration(promoted, "voter")
 
     def get_target_voter_count(self, configuration: Configuration) -> int:
         """Return how many voters there should be.
--- a/src/lentilfork/agreement/replica.py
+++ b/src/lentilfork/agreement/replica.py
@@ -20,7 +20,7 @@
 from lentilfork.agreement.core import log
 from lentilfork.agreement.election import Election
 from lentilfork.agreement.files import Files
-from lentilfork.agreement.files import OsFiles
+from lentilfork.agreement.files import open_files
 from lentilfork.agreement.follower import Follower
 from lentilfork.agreement.joining import Joining
 from lentilfork.agreement.leadership import HEARTBEAT_INTERVAL_S
@@ -94,7 +94,7 @@
         self.settings = settings
         self.counters = counters
         storage = Storage(
-            files or OsFiles(settings.data_folder), sealed=settings.sealed_folder
+            files or open_files(settings.data_folder), sealed=settings.sealed_folder
         )
         routes = {peer.address: peer.via for peer in settings.controllers if peer.via}
         transport = transport or GrpcTransport(channels, routes)
@@ -283,11 +283,15 @@
         return await self.proposals.submit(change, min(limit_s, PROPOSE_TIMEOUT_S))
 
     def identify(self) -> agreement_pb2.IdentifyReply:
-        """Return the name of this replica and the id of its data folder."""
+        """Return the name of this replica and the id of its data folder.
+
+        The id is 0 without a disk.
+        """
+        core = self.core
         return agreement_pb2.IdentifyReply(
-            name=self.core.name,
-            disk_id=self.core.storage.disk_id,
-            fresh=self.running and self.core.is_fresh,
+            name=core.name,
+            disk_id=core.storage.disk_id if core.has_disk else 0,
+            fresh=self.running and core.is_fresh,
         )
 
     async def run_compaction(self) -> None:
--- a/src/lentilfork/agreement/settings.py
+++ b/src/lentilfork/agreement/settings.py
@@ -35,8 +35,11 @@
         """Address at which other controllers reach it, "ip:port"."""
 
     @property
-    def data_folder(self) -> Path:
-        """The folder of the log, the vote and the snapshots."""
+    def data_folder(self) -> Path | None:
+        """The folder of the log, the vote and the snapshots; None without a disk.
+
+        A controller without a disk never votes: it would forget its votes.
+        """
 
     @property
     def controllers(self) -> Sequence[Peer]:
@@ -50,6 +53,13 @@
     def voters(self) -> int | None:
         """How many controllers vote; None: as many as the cluster started with."""
 
+    @property
+    def tolerated_losses(self) -> int | None:
+        """How many controllers may be lost at once, with their disks.
+
+        If set, every controller with a disk votes. None: operators choose the voters.
+        """
+
     @property
     def replace_silent_ms(self) -> int:
         """Time without a response after which a voter is replaced by a spare."""
--- a/src/lentilfork/forwarding/controller.py
+++ b/src/lentilfork/forwarding/controller.py
@@ -20,6 +20,7 @@
 from result import Result
 
 from lentilfork.agreement import Replica
+from lentilfork.agreement.voters import list_voters
 from lentilfork.channels import Channels
 from lentilfork.counters import Counters
 from lentilfork.errors import Failure
@@ -64,7 +65,7 @@
         settings.data_folder,
         make_peers(settings.controllers),
         settings.may_begin,
-        settings.voters,
+        settings.tolerated_losses,
         settings.replace_silent_ms,
     )
 
@@ -152,9 +153,13 @@
         return self.table.version
 
     def list_controllers(self) -> list[str]:
-        """Return the addresses of all controllers as "ip:port", sorted."""
-        known = self.replica.core.configuration.values()
-        return sorted(item.control_address for item in known)
+        """Return the addresses of the voters as "ip:port", sorted.
+
+        Members need not announce themselves to the others: a controller without a disk
+        only passes operators' calls on, and one that lost its vote may be gone.
+        """
+        voters = list_voters(self.replica.core.configuration)
+        return sorted(item.control_address for item in voters)
 
     def apply_state(self, _before: ClusterState, _after: ClusterState) -> None:
         """Notify members if the new state has a newer route table."""
--- a/src/lentilfork/forwarding/settings.py
+++ b/src/lentilfork/forwarding/settings.py
@@ -61,19 +61,21 @@
 
 @dataclass(frozen=True, slots=True)
 class FlowControllerSettings:
-    """Settings of a controller, which needs a disk."""
+    """Settings of a controller."""
 
     data_centre: str
     # Address of the gRPC server for consensus and of the socket for members' datagrams.
     address: SocketName
     # Controllers known at the start; they are the first voters of a new history.
     controllers: tuple[SocketName, ...]
-    data_folder: Path
+    # None on a host without a disk, whose controller never votes.
+    data_folder: Path | None
     # Whether the whole system starts for the first time, so that a history may be
     # created.
     may_begin: bool
-    voters: int
-    # Time after which the vote of an unresponsive voter passes to a waiting controller.
+    # Controllers that may be lost at once, with their disks.
+    tolerated_losses: int
+    # Time without a response after which a voter may lose its vote.
     replace_silent_ms: int
 
 
@@ -94,10 +96,12 @@
     name: str
     # "ip:port".
     control_address: str
-    data_folder: Path
+    data_folder: Path | None
     controllers: tuple[ControllerAddress, ...]
     may_begin: bool
-    voters: int | None
+    tolerated_losses: int
     replace_silent_ms: int
+    # Every controller with a disk votes.
+    voters: None = None
     # False, since inodes and change times do not survive a restart of these hosts.
     sealed_folder: bool = False
--- a/src/lentilfork/platform/settings.py
+++ b/src/lentilfork/platform/settings.py
@@ -35,9 +35,11 @@
 CONTROLLER_PORT: Final = 0
 BALANCER_PORT: Final = 1
 AGENT_PORT: Final = 2
-# A voter without heartbeats is replaced after half of the catch-up time, well before
-# another voter may fail.
+# A voter without heartbeats may lose its vote after half of the catch-up time, well
+# before another voter may fail.
 REPLACE_DIVISOR: Final = 2
+# Controllers that deploy/system.toml starts in each data centre.
+CONTROLLERS_PER_ZONE: Final = 2
 
 
 class Listen(Struct, frozen=True):
@@ -58,6 +60,8 @@
 
     # Number of failed machines.
     machines: int = 1
+    # Number of failed data centres.
+    zones: int = 0
 
 
 class Bounds(Struct, frozen=True):
@@ -65,7 +69,7 @@
 
     # Time between the signal to stop and the end of the process.
     grace_s: float = 6.0
-    # Twice the time after which a voter without heartbeats is replaced.
+    # Twice the time after which a voter without heartbeats may lose its vote.
     catch_up_s: float = 4.0
 
 
@@ -83,6 +87,7 @@
     seeds: tuple[str, ...] = ()
     # Whether the whole system starts for the first time.
     bootstrap: bool = False
+    # Folder on the machine's disk; empty without a disk.
     data_dir: str = ""
     heartbeat_ms: float = 1_000
     service: str = ""
@@ -181,15 +186,14 @@
 
 
 def make_controller_settings(settings: PlatformSettings) -> FlowControllerSettings:
-    """Return the settings of a controller; MissingKeyError if a key is not set."""
-    if not settings.data_dir:
-        raise MissingKeyError("data_dir")
+    """Return the settings of a controller."""
+    tolerance = settings.fault_tolerance
     return FlowControllerSettings(
         settings.zone,
         (settings.ip, settings.internal_ports[0] + CONTROLLER_PORT),
         list_controllers(settings),
-        Path(settings.data_dir),
+        Path(settings.data_dir) if settings.data_dir else None,
         settings.bootstrap,
-        2 * settings.fault_tolerance.machines + 1,
+        max(tolerance.machines, tolerance.zones * CONTROLLERS_PER_ZONE),
         round(settings.bounds.catch_up_s * MS_PER_S / REPLACE_DIVISOR),
     )
--- a/src/lentilfork/settings.py
+++ b/src/lentilfork/settings.py
@@ -186,6 +186,11 @@
     # all agents of a service have missed their heartbeats, none is removed.
     silence_limit_percent: Annotated[int, Field(ge=1, le=100)] | None = None
 
+    @property
+    def tolerated_losses(self) -> None:
+        """None: operators choose the controllers."""
+        return
+
 
 Settings = Annotated[
     BalancerSettings | AgentSettings | ControllerSettings,
--- a/tests/forwarding/test_controllers.py
+++ b/tests/forwarding/test_controllers.py
@@ -48,7 +48,7 @@
                 tuple((seed, self.port) for seed in HOSTS),
                 self.folder / host,
                 first,
-                3,
+                1,
                 1_000,
             )
         )
