agreement: ask the leader for admission that other controllers name

A host that replaced a lost one was never admitted if none of the controllers in its settings was the leader: their replies name the leader, and the joining replica ignored that. With three seeds of eight controllers that is the usual case. Silent controllers were also asked one after the other, a second each.

All known controllers are now asked at once, then the leaders that they name. test_new_host_finds_a_leader_that_its_settings_do_not_name failed before.

--- a/src/lentilfork/agreement/joining.py
+++ b/src/lentilfork/agreement/joining.py
@@ -18,6 +18,7 @@
 import asyncio
 import secrets
 from collections.abc import Callable
+from collections.abc import Iterable
 from dataclasses import replace
 from typing import Final
 
@@ -26,7 +27,6 @@
 from lentilfork.agreement.leadership import Leadership
 from lentilfork.agreement.proposals import Proposals
 from lentilfork.agreement.storage import StorageError
-from lentilfork.agreement.transport import TransportError
 from lentilfork.agreement.voters import Configuration
 from lentilfork.agreement.voters import encode_configuration
 from lentilfork.agreement.voters import list_voters
@@ -141,28 +141,37 @@
         log.info("bootstrapped a new cluster", voters=len(voters))
 
     async def request_admission(self) -> None:
-        """Send a join request to the known controllers until the leader answers."""
+        """Send a join request to the known controllers and to the leader they name."""
         core = self.core
         member = Controller(
             core.name, core.settings.control_address, False, core.storage.disk_id
         )
         request = agreement_pb2.JoinRequest(controller=encode_controller(member))
-        known = (
+        known = {
             core.leader_address,
             *(peer.address for peer in core.settings.controllers),
             *(item.control_address for item in core.configuration.values()),
+        }
+        leaders = await self.send_join_requests(known, request)
+        # The known controllers may include only replicas that follow the leader.
+        await self.send_join_requests(leaders - known, request)
+
+    async def send_join_requests(
+        self, addresses: Iterable[str], request: agreement_pb2.JoinRequest
+    ) -> set[str]:
+        """Send a join request to controllers; return the leaders that they name."""
+        core = self.core
+        others = set(addresses) - {"", core.settings.control_address}
+        calls = (
+            core.transport.join(address, request, CALL_TIMEOUT_S)
+            for address in sorted(others)
         )
-        local_address = core.settings.control_address
-        for address in dict.fromkeys(known):
-            if not address or address == local_address:
-                continue
-            try:
-                reply = await core.transport.join(address, request, CALL_TIMEOUT_S)
-            except TransportError:
-                core.counters.add("agreement_call_errors", "join")
-                continue
-            if reply.state:
-                return
+        answers = await asyncio.gather(*calls, return_exceptions=True)
+        replies = [
+            answer for answer in answers if isinstance(answer, agreement_pb2.JoinReply)
+        ]
+        core.counters.add("agreement_call_errors", "join", len(answers) - len(replies))
+        return {reply.leader_address for reply in replies if not reply.state}
 
     async def handle_join(
         self, request: agreement_pb2.JoinRequest
--- a/tests/agreement/test_tolerance.py
+++ b/tests/agreement/test_tolerance.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tests.agreement.fakes import Disk
 from tests.agreement.fleet import Fleet
 
 # Controllers with a disk, without one, and losses that are borne at once.
@@ -46,6 +47,20 @@
     fleet.close()
 
 
+# Guards against a replacement that is never admitted because its settings name only
+# controllers that don't lead.
+def test_new_host_finds_a_leader_that_its_settings_do_not_name() -> None:
+    fleet = Fleet(6, 0, 2, seed=3)
+    leader = fleet.get_leader().core.name
+    fleet.seeds = [name for name in fleet.names if name != leader][:3]
+    fleet.names.append("c06")
+    fleet.addresses["c06"] = fleet.make_address("c06")
+    fleet.disks["c06"] = Disk(fleet.rng)
+    fleet.start("c06")
+    fleet.run_until(lambda: "c06" in fleet.list_voters(), 2.0)
+    fleet.close()
+
+
 def test_first_start_with_a_seed_that_has_no_disk() -> None:
     fleet = Fleet(3, 1, 1, seed=6, seed_numbers=(3, 1, 2))
     assert fleet.list_voters() == fleet.names[:3]
