agreement: remove controllers that are gone

Cause: a voter lost its vote only when another controller asked for one, and only if no vote was vacant otherwise; a controller was never taken off the list of at most 16. So lost voters counted for majorities, and successors found no place.

The leader now takes votes of silent voters by itself, one at a time and only where the remaining ones bear as many losses, and then removes silent controllers without a vote.

--- a/src/lentilfork/agreement/joining.py
+++ b/src/lentilfork/agreement/joining.py
@@ -23,9 +23,11 @@
 from typing import Final
 
 from lentilfork.agreement.core import Core
+from lentilfork.agreement.core import Role
 from lentilfork.agreement.core import log
 from lentilfork.agreement.leadership import Leadership
 from lentilfork.agreement.proposals import Proposals
+from lentilfork.agreement.removals import choose_removal
 from lentilfork.agreement.storage import StorageError
 from lentilfork.agreement.voters import Configuration
 from lentilfork.agreement.voters import encode_configuration
@@ -35,12 +37,17 @@
 from lentilfork.state.codec import decode_controller
 from lentilfork.state.codec import encode_controller
 from lentilfork.state.model import Controller
+from lentilfork.state.validation import MAXIMUM_CONTROLLERS
 
 __all__ = ["Joining"]
 
 JOIN_INTERVAL_S: Final = 0.3
 CALL_TIMEOUT_S: Final = 1.0
 ADMIT_TIMEOUT_S: Final = 2.0
+REMOVAL_INTERVAL_S: Final = 0.5
+# A leader that is not heard from for longer than an election takes may have removed
+# this replica.
+LEADER_MISSING_S: Final = 2.0
 MAXIMUM_FIRST_TERM: Final = 1 << 20
 MS_PER_S: Final = 1_000
 
@@ -76,9 +83,13 @@
             await asyncio.sleep(JOIN_INTERVAL_S)
 
     def needs_admission(self) -> bool:
-        """Return whether this replica lacks a vote or, without a disk, its entry."""
+        """Return whether this replica has no vote or may have been removed."""
         core = self.core
-        return not (core.is_voter if core.has_disk else core.is_admitted)
+        if core.has_disk and not core.is_voter:
+            return True
+        silent_s = core.get_time_s() - core.leader_contact_s
+        missing = core.role is not Role.LEADER and silent_s >= LEADER_MISSING_S
+        return missing or not core.is_admitted
 
     async def may_bootstrap(self) -> bool:
         """Return whether this replica may write the first entry of a new cluster."""
@@ -192,6 +203,8 @@
         known = configuration.get(joiner.name)
         if joiner.name == self.core.name or is_name_in_use(leadership, known, joiner):
             return "the name is in use"
+        if known is None and len(configuration) >= MAXIMUM_CONTROLLERS:
+            return "there are too many controllers"
         if known is None or known.disk_id != joiner.disk_id:
             learner = replace(joiner, voter=False)
             return await self.propose_configuration(
@@ -226,6 +239,23 @@
             return "spare"
         return await self.propose_configuration(promoted, "voter")
 
+    async def run_removals(self, tolerated_losses: int) -> None:
+        """Remove controllers that are gone while this replica leads."""
+        while True:
+            await asyncio.sleep(REMOVAL_INTERVAL_S)
+            leadership = self.get_leadership()
+            if leadership is None or not leadership.is_established:
+                continue
+            async with self.admission_lock:
+                smaller = choose_removal(
+                    self.core.configuration,
+                    leadership.measure_silence(),
+                    tolerated_losses,
+                    self.core.settings.replace_silent_ms / MS_PER_S,
+                )
+                if smaller is not None:
+                    await self.propose_configuration(smaller, "removed")
+
     def get_target_voter_count(self, configuration: Configuration) -> int:
         """Return how many voters there should be.
 
--- a/src/lentilfork/agreement/leadership.py
+++ b/src/lentilfork/agreement/leadership.py
@@ -194,6 +194,11 @@
             and peer.match_index >= self.core.commit_index
         )
 
+    def measure_silence(self) -> dict[str, float]:
+        """Return for each peer the seconds since the request it last acknowledged."""
+        now_s = self.core.get_time_s()
+        return {name: now_s - peer.last_ack_s for name, peer in self.peers.items()}
+
     def is_responsive(self, peer: Peer) -> bool:
         """Return whether a peer acknowledged a request within the quorum timeout."""
         return self.core.get_time_s() - peer.last_ack_s < QUORUM_TIMEOUT_S
--- a/src/lentilfork/agreement/replica.py
+++ b/src/lentilfork/agreement/replica.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from functools import partial
 from random import Random
 from typing import Final
 
@@ -182,6 +183,10 @@
             start_supervised(self.run_compaction, "compaction"),
             start_supervised(self.run_disk_recovery, "disk recovery"),
         ]
+        tolerated = self.settings.tolerated_losses
+        if tolerated is not None:
+            removals = partial(self.joining.run_removals, tolerated)
+            self.tasks.append(start_supervised(removals, "removals"))
         return Ok(None)
 
     def load_state(self, stored: StoredLog) -> Result[None, Failure]:
--- a/src/lentilfork/agreement/settings.py
+++ b/src/lentilfork/agreement/settings.py
@@ -57,7 +57,8 @@
     def tolerated_losses(self) -> int | None:
         """How many controllers may be lost at once, with their disks.
 
-        If set, every controller with a disk votes. None: operators choose the voters.
+        If set, every controller with a disk votes, and the leader removes controllers
+        that are gone. None: operators choose the controllers.
         """
 
     @property
--- a/tests/agreement/test_tolerance.py
+++ b/tests/agreement/test_tolerance.py
@@ -47,6 +47,30 @@
     fleet.close()
 
 
+# Guards against hosts that were replaced one long after the other and took the
+# configuration out of reach: the first one kept its vote.
+@pytest.mark.parametrize("together", [False, True])
+@pytest.mark.parametrize(("disks", "diskless", "tolerated"), LAYOUTS)
+def test_replaced_hosts_leave_the_configuration(
+    disks: int, diskless: int, tolerated: int, together: bool
+) -> None:
+    fleet = Fleet(disks, diskless, tolerated, seed=2)
+    survivor = fleet.names[disks - 1]
+    for _ in range(20):
+        running = fleet.replicas.keys() & set(fleet.list_voters())
+        lost = sorted(running - {survivor})
+        for name in lost[: tolerated if together else 1]:
+            fleet.replace_host(name, 0.2 if together else 1.0)
+        fleet.run(CATCH_UP_S)
+        assert fleet.bears_losses()
+        fleet.acknowledge(survivor)
+        fleet.read(survivor)
+    fleet.run(40)
+    assert fleet.list_controllers() == fleet.addresses.keys()
+    assert set(fleet.list_voters()) == fleet.addresses.keys() - fleet.diskless
+    fleet.close()
+
+
 # Guards against a replacement that is never admitted because its settings name only
 # controllers that don't lead.
 def test_new_host_finds_a_leader_that_its_settings_do_not_name() -> None:
@@ -61,6 +85,32 @@
     fleet.close()
 
 
+def test_voter_that_was_cut_off_for_long_returns() -> None:
+    fleet = Fleet(3, 0, 1, seed=4)
+    lost = next(name for name in fleet.names if name not in fleet.get_leaders())
+    fleet.network.isolate(fleet.addresses[lost])
+    fleet.run(60)
+    assert lost in fleet.list_voters(), "three voters are needed to bear one loss"
+    fleet.network.heal()
+    fleet.replace_host(fleet.get_leader().core.name, 1.0)
+    fleet.run(CATCH_UP_S)
+    fleet.acknowledge(lost)
+    fleet.close()
+
+
+def test_controller_that_was_removed_while_it_was_cut_off_returns() -> None:
+    fleet = Fleet(6, 1, 2, seed=5)
+    lost = [name for name in fleet.names[4:] if name not in fleet.get_leaders()][0:2]
+    for name in lost:
+        fleet.network.isolate(fleet.addresses[name])
+    fleet.run_until(lambda: lost[0] not in fleet.list_controllers(), 60)
+    fleet.network.heal()
+    fleet.run(CATCH_UP_S)
+    assert fleet.list_voters() == fleet.names[:6]
+    fleet.run_until(lambda: fleet.list_controllers() == set(fleet.names))
+    fleet.close()
+
+
 def test_first_start_with_a_seed_that_has_no_disk() -> None:
     fleet = Fleet(3, 1, 1, seed=6, seed_numbers=(3, 1, 2))
     assert fleet.list_voters() == fleet.names[:3]
