forwarding: choose no primary that some agents don't announce themselves to

A member whose settings name a controller without a disk could have chosen it as its primary, and had then applied a roster without most agents: agents announce themselves to voters, and to others only if their own settings name them. Such a controller now says so in its updates; members still learn from it who votes and which table is the newest. Found by reading, before such a controller has run anywhere; test_controller_that_some_agents_do_not_announce_to_is_no_primary failed before.

--- a/src/lentilfork/forwarding/controller.py
+++ b/src/lentilfork/forwarding/controller.py
@@ -140,6 +140,7 @@
             self.list_controllers,
             self.counters,
             time.monotonic(),
+            partial=settings.data_folder is None,
         )
         self.replica.subscribe(self.apply_state)
         self.server = None
--- a/src/lentilfork/forwarding/membership.py
+++ b/src/lentilfork/forwarding/membership.py
@@ -72,6 +72,8 @@
     announced_at: float = float("-inf")
     # Whether it has run long enough to know all agents.
     warm: bool = False
+    # Whether some agents don't announce themselves to it.
+    partial: bool = False
     data_centre: str = ""
     table_version: int = 0
 
@@ -201,7 +203,7 @@
         responsive = [
             view
             for view in self.controllers.values()
-            if now - view.last_heard_at <= CONTROLLER_TIMEOUT_S
+            if now - view.last_heard_at <= CONTROLLER_TIMEOUT_S and not view.partial
         ]
         if not responsive:
             self.add_seeds()
@@ -234,6 +236,7 @@
         view = self.controllers.setdefault(address, ControllerView(address))
         view.last_heard_at = now
         view.warm = update.warm
+        view.partial = update.partial
         view.data_centre = update.data_centre
         view.table_version = max(view.table_version, update.table_version)
         self.update_controllers(update, now)
@@ -247,7 +250,8 @@
 
     def is_suitable_primary(self, view: ControllerView) -> bool:
         """Return whether a controller may become the first primary immediately."""
-        return view.warm or view.data_centre == self.data_centre
+        nearby = view.data_centre == self.data_centre
+        return (view.warm or nearby) and not view.partial
 
     def update_controllers(self, update: roster_pb2.RosterUpdate, now: float) -> None:
         """Add the controllers that an update lists.
--- a/src/lentilfork/forwarding/roster_server.py
+++ b/src/lentilfork/forwarding/roster_server.py
@@ -84,6 +84,8 @@
     started_at: float
     entries: dict[str, Entry]
     subscribers: dict[str, Subscriber]
+    # Whether only members whose settings name this controller announce themselves.
+    partial: bool
     # Return the version of the newest route table and the addresses of the controllers.
     get_table_version: Callable[[], int]
     list_controllers: Callable[[], list[str]]
@@ -103,8 +105,11 @@
         list_controllers: Callable[[], list[str]],
         counters: Counters,
         now: float,
+        *,
+        partial: bool = False,
     ) -> None:
         self.address = address
+        self.partial = partial
         self.data_centre = data_centre
         self.epoch = 1 + secrets.randbits(62)
         self.revision = 0
@@ -241,6 +246,7 @@
             controllers=self.list_controllers(),
             data_centre=self.data_centre,
             warm=now - self.started_at >= WARM_UP_S,
+            partial=self.partial,
         )
 
     def list_changes(self, revision: int) -> Iterator[Entry]:
--- a/tests/forwarding/test_roster.py
+++ b/tests/forwarding/test_roster.py
@@ -303,6 +303,29 @@
     assert len(network.member.controllers) == 3
 
 
+# Guards against a roster without most agents: they announce themselves to voters only,
+# and settings may name a controller that isn't one.
+@pytest.mark.parametrize("first", [0, 1])
+def test_controller_that_some_agents_do_not_announce_to_is_no_primary(
+    first: int,
+) -> None:
+    network = FakeNetwork(controllers=2)
+    network.servers[first].partial = True
+    network.member.seeds = [("10.0.0.1", 7000), ("10.0.1.1", 7000)]
+    network.member.add_seeds()
+    other = network.servers[1 - first]
+    other.apply_agent(encode_agent(make_agent(1)), network.now)
+    for _ in range(5):
+        network.advance()
+    assert network.member.primary == (f"10.0.{1 - first}.1", 7000)
+    assert list(network.member.roster.agents) == ["agent-01"]
+    network.down.add(1 - first)
+    for _ in range(ceil(CONTROLLER_TIMEOUT_S / 0.2) + 5):
+        network.advance()
+    assert network.member.primary != (f"10.0.{first}.1", 7000)
+    assert list(network.member.roster.agents) == ["agent-01"]
+
+
 def test_newest_table_of_any_controller_is_applied_and_never_an_older_one() -> None:
     network = FakeNetwork(3)
     join_agents(network, 1)
