forwarding: keep open flows when their route gets another service

What callers saw: from a new configuration on in which a route has another service or other weights, no packet of an open flow of that route reached its backend server, which ran undisturbed; all further requests on these flows stayed unanswered. PROTOCOL.md leaves open flows where they are, unless their route is removed.

Cause: a balancer chooses the service of every packet by its newest route table. The owner under the new service does not know the flow, searched only the agents of its own service, and an agent dropped each envelope that names another service than its own.

Change: balancers still keep no state of flows. Agents use the route table that they already fetch. An agent that holds a flow notifies its owner under the service that the table names, as it does for a changed roster. That owner forwards the packets to the agent by name, and the agent delivers packets other than SYNs whatever service the envelope names. Until the notice arrives, or if it gets lost, the first agent that does not hold the flow sends one copy to the owner under each other service that the route has, or had in tables of the last 60 s; copies are marked, so they are not copied again. A SYN is placed by the newest table even if its flow is known at another service, and such a SYN is never refused with a reset, as it may be a late copy of an open flow's. While the new service has no agents, a balancer sends packets of open flows to an owner under another service of the route.

Why it works: every packet of an open flow reaches either an owner that has the notice or one that asks the owners that had placed the flow.

Not covered: a balancer that starts after the change knows no former service, so while the new service has no agents it drops the packets.

--- a/src/lentilfork/forwarding/balancer.py
+++ b/src/lentilfork/forwarding/balancer.py
@@ -21,7 +21,9 @@
 from lentilfork.forwarding.packets import PacketFlags
 from lentilfork.forwarding.packets import hash_name
 from lentilfork.forwarding.packets import make_caller_key
+from lentilfork.forwarding.roster import AgentRecord
 from lentilfork.forwarding.roster import Roster
+from lentilfork.forwarding.routes import FormerServices
 from lentilfork.forwarding.routes import Route
 from lentilfork.forwarding.routes import RouteIndex
 
@@ -46,6 +48,7 @@
     codec: PacketCodec
     roster: Roster
     routes: RouteIndex
+    former_services: FormerServices
     # Time at which `routes` was last confirmed to be the newest version.
     confirmed_at: float
     # Time at which the first whole roster was applied; infinite before.
@@ -70,6 +73,7 @@
         self.codec = codec
         self.roster = roster
         self.routes = RouteIndex()
+        self.former_services = FormerServices()
         self.confirmed_at = float("-inf")
         self.synced_at = float("inf")
         self.ingress = hash_name(data_centre)
@@ -77,6 +81,11 @@
         self.counters = counters
         self.decisions = decisions
 
+    def apply_routes(self, routes: RouteIndex, now: float) -> None:
+        """Apply a newer route table."""
+        self.former_services.record(self.routes, routes, now)
+        self.routes = routes
+
     def handle_packet(self, data: bytes, now: float) -> None:
         """Handle a packet of a caller: forward, buffer, reset or drop it."""
         packet = self.codec.parse(data)
@@ -111,6 +120,8 @@
         key = make_caller_key(packet)
         service = hash_name(route.choose_service(find_bucket(key)))
         owners = self.roster.rank_owners(service, self.ingress, key)
+        if not owners and not packet.is_opening:
+            service, owners = self.find_other_owners(packet, route, key, now)
         if not owners:
             self.refuse_without_agent(packet, now)
             return
@@ -129,6 +140,21 @@
         self.counters.add("packets_forwarded")
         self.send(encode_envelope(envelope), owner.address)
 
+    def find_other_owners(
+        self, packet: FlowPacket, route: Route, key: bytes, now: float
+    ) -> tuple[int, list[AgentRecord]]:
+        """Return another service of an open flow's route that has agents, and these.
+
+        The service that the table names for the flow has none yet.
+        """
+        address = packet.destination, packet.destination_port
+        names = [*self.former_services.list_services(address, now), *route.services]
+        for service in map(hash_name, names):
+            owners = self.roster.rank_owners(service, self.ingress, key)
+            if owners:
+                return service, owners
+        return 0, []
+
     def refuse_without_agent(self, packet: FlowPacket, now: float) -> None:
         """Reset a new flow of a service without agents.
 
--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -10,6 +10,7 @@
 from dataclasses import replace
 from typing import Final
 
+from lentilfork.buckets import find_bucket
 from lentilfork.counters import Counters
 from lentilfork.forwarding.decisions import DecisionLog
 from lentilfork.forwarding.envelopes import Envelope
@@ -25,10 +26,14 @@
 from lentilfork.forwarding.packets import FlowPacket
 from lentilfork.forwarding.packets import PacketCodec
 from lentilfork.forwarding.packets import PacketFlags
+from lentilfork.forwarding.packets import hash_name
 from lentilfork.forwarding.packets import make_caller_key
 from lentilfork.forwarding.packets import make_server_key
 from lentilfork.forwarding.placement import Choice
+from lentilfork.forwarding.roster import AgentRecord
 from lentilfork.forwarding.roster import Roster
+from lentilfork.forwarding.routes import FormerServices
+from lentilfork.forwarding.routes import RouteIndex
 
 __all__ = ["FlowDelivery"]
 
@@ -57,6 +62,9 @@
     roster: Roster
     owner: FlowOwner
     flows: FlowTable
+    # The newest route table that this agent has; balancers may have another one.
+    routes: RouteIndex
+    former_services: FormerServices
     # Whether the backend server accepts new flows.
     accepting: bool
     # Whether the backend server has announced itself to this process.
@@ -94,6 +102,8 @@
         self.roster = roster
         self.owner = owner
         self.flows = flows
+        self.routes = RouteIndex()
+        self.former_services = FormerServices()
         self.counters = counters
         self.decisions = decisions
         self.accepting = False
@@ -104,12 +114,22 @@
         self.unanswered_since = 0.0
 
     def deliver(self, envelope: Envelope, packet: FlowPacket, now: float) -> None:
-        """Deliver a packet to the backend server, or forward it to another agent."""
-        if envelope.service != self.service:
-            self.counters.add("packets_dropped", "other_service")
-            return
-        if packet.is_opening:
+        """Deliver a packet to the backend server, or forward it to another agent.
+
+        An envelope may name another service if the flow's route has changed since the
+        flow opened. A balancer's envelope of a flow that is not here is misdirected.
+        """
+        other = envelope.service != self.service
+        if packet.is_opening and not other:
             self.deliver_syn(envelope, packet, now)
+        elif other and (
+            packet.is_opening
+            or (
+                envelope.kind is Kind.ROUTE
+                and self.flows.find(make_caller_key(packet)) is None
+            )
+        ):
+            self.counters.add("packets_dropped", "other_service")
         else:
             self.deliver_subsequent(envelope, packet, now)
 
@@ -171,10 +191,12 @@
         """Deliver a packet of an open flow if the backend server may hold the flow."""
         flow = self.flows.find(make_caller_key(packet))
         if flow is None:
+            envelope = self.search_other_services(envelope, packet, now)
             if now >= self.flows_complete_since:
                 self.forward_to_next_agent(packet, envelope)
                 return
         elif not flow.accepts_acknowledgement(packet.acknowledgement):
+            envelope = self.search_other_services(envelope, packet, now)
             self.forward_to_next_agent(packet, envelope)
             return
         else:
@@ -199,6 +221,37 @@
         self.counters.add("packets_delivered")
         self.send_to_server(self.codec.write_tag(packet.data, hops))
 
+    def search_other_services(
+        self, envelope: Envelope, packet: FlowPacket, now: float
+    ) -> Envelope:
+        """Send a packet of a flow that is not here to its owners under other services.
+
+        Its route has, or had lately, these services. Only the first agent of a search
+        asks them. Returns the envelope for the search in this agent's own service.
+        """
+        local = replace(envelope, service=self.service)
+        if envelope.hops > 0 or envelope.repeated:
+            return local
+        key = make_caller_key(packet)
+        address = packet.destination, packet.destination_port
+        route = self.routes.routes.get(address)
+        names = {
+            *(route.services if route is not None else ()),
+            *self.former_services.list_services(address, now),
+        }
+        for service in {envelope.service, *map(hash_name, names)} - {self.service}:
+            owners = self.roster.rank_owners(service, envelope.ingress, key)
+            if not owners:
+                continue
+            # The envelope's own service has been left because of its owner's directory.
+            kind = Kind.DELIVER if service == envelope.service else Kind.ROUTE
+            copy = replace(
+                envelope, kind=kind, service=service, repeated=True, data=packet.data
+            )
+            self.counters.add("flows_searched_in_other_service")
+            self.send(encode_envelope(copy), owners[0].address)
+        return local
+
     def forward_to_next_agent(self, packet: FlowPacket, envelope: Envelope) -> None:
         """Forward a packet of a flow that is not here to the next agent of the service.
 
@@ -302,7 +355,7 @@
         """Notify the owner of a flow where it is served, if the owner has changed."""
         opening = not flow.notified_owner
         ingress = flow.ingress or self.data_centre
-        owners = self.roster.rank_owners(self.service, ingress, flow.key)
+        owners = self.rank_owners_by_route(flow.key, ingress)
         if not owners or owners[0].name == flow.notified_owner:
             return
         flow.notified_owner = owners[0].name
@@ -311,8 +364,28 @@
         elif owners[0].address != flow.offered_by or not opening:
             self.send(encode_placement_notice(flow.key, self.name), owners[0].address)
 
+    def rank_owners_by_route(self, key: bytes, ingress: int) -> list[AgentRecord]:
+        """Return the owners of a flow under the service that its route has now.
+
+        Without a route, or without agents of that service, the flow's owners are those
+        of this agent's service.
+        """
+        _, _, destination, destination_port = KEY.unpack(key)
+        route = self.routes.routes.get((destination, destination_port))
+        service = self.service
+        if route is not None:
+            service = hash_name(route.choose_service(find_bucket(key)))
+        owners = self.roster.rank_owners(service, ingress, key)
+        return owners or self.roster.rank_owners(self.service, ingress, key)
+
+    def apply_routes(self, routes: RouteIndex, now: float) -> None:
+        """Apply a newer route table, which may give open flows other owners."""
+        self.former_services.record(self.routes, routes, now)
+        self.routes = routes
+        self.notify_new_owners(now)
+
     def notify_new_owners(self, now: float) -> None:
-        """Notify the owners of open flows whose owner changed with the roster."""
+        """Notify the owners of open flows whose owner changed with roster or routes."""
         for flow in self.flows.list_open():
             self.notify_owner(flow, now)
 
--- a/src/lentilfork/forwarding/envelopes.py
+++ b/src/lentilfork/forwarding/envelopes.py
@@ -66,7 +66,8 @@
     target_ms: int
     priority: int
     data: bytes
-    # Whether this SYN was offered to another agent before, where its flow may be open.
+    # Whether this SYN was offered to another agent before, where its flow may be open;
+    # for other packets, whether a copy went to the owner under another service.
     repeated: bool = False
     # Address that the envelope came from; None if it was made in this process.
     sender: SocketName | None = None
--- a/src/lentilfork/forwarding/ownership.py
+++ b/src/lentilfork/forwarding/ownership.py
@@ -25,6 +25,7 @@
 from lentilfork.forwarding.loads import LoadTable
 from lentilfork.forwarding.packets import FlowPacket
 from lentilfork.forwarding.packets import PacketCodec
+from lentilfork.forwarding.packets import hash_name
 from lentilfork.forwarding.packets import make_caller_key
 from lentilfork.forwarding.placement import Choice
 from lentilfork.forwarding.placement import choose_agent
@@ -109,7 +110,14 @@
         """Forward a packet to the agent that serves its flow; place a new flow."""
         key = make_caller_key(packet)
         agent = self.find_agent(key, now)
-        if agent is not None:
+        if (
+            agent is not None
+            and packet.is_opening
+            and hash_name(agent.service) != envelope.service
+        ):
+            # Only open flows stay with the service that their route had before.
+            self.place(replace(envelope, repeated=True), packet, now)
+        elif agent is not None:
             self.forward_to_agent(agent, envelope, packet, now)
         elif packet.is_opening:
             self.place(envelope, packet, now)
@@ -166,12 +174,13 @@
             return
         choice = self.choose_target(envelope, key, [], now)
         if choice.agent is None:
-            self.refuse(packet, "no agent takes new flows")
+            self.refuse_offer(envelope, packet, "no agent takes new flows")
             return
         if not self.admission.is_in_time(envelope, choice):
             choice = self.choose_target(envelope, key, [], now, all_agents=True)
         if choice.agent is None or not self.admission.admit(envelope, choice):
-            self.refuse(
+            self.refuse_offer(
+                envelope,
                 packet,
                 "answer expected too late",
                 expected_ms=round(choice.expected_s * MS_PER_S),
--- a/src/lentilfork/forwarding/processes.py
+++ b/src/lentilfork/forwarding/processes.py
@@ -242,7 +242,7 @@
 
     def apply_table(self) -> None:
         """Use a newer route table for the balancer's routes."""
-        self.balancer.routes = self.membership.routes
+        self.balancer.apply_routes(self.membership.routes, time.monotonic())
         self.schedule_forwarding()
 
     def schedule_forwarding(self) -> None:
@@ -405,7 +405,8 @@
         self.agent.handle_server_packet(data, time.monotonic())
 
     def apply_table(self) -> None:
-        """Apply the idle timeout of a newer route table."""
+        """Apply the routes and the idle timeout of a newer route table."""
+        self.agent.delivery.apply_routes(self.membership.routes, time.monotonic())
         timeout_s = self.membership.routes.idle_timeout_ms / MS_PER_S
         self.agent.idle_timeout_s = timeout_s
         self.agent.owner.directory.lifetime_s = timeout_s
--- a/src/lentilfork/forwarding/routes.py
+++ b/src/lentilfork/forwarding/routes.py
@@ -4,11 +4,15 @@
 from dataclasses import dataclass
 from dataclasses import field
 from itertools import accumulate
+from typing import Final
 
 from lentilfork.forwarding.packets import hash_name
 from lentilfork.schema import state_pb2
 
-__all__ = ["Route", "RouteIndex", "index_routes"]
+__all__ = ["FormerServices", "Route", "RouteIndex", "index_routes"]
+
+# A flow that was opened under an earlier table may be dropped at this age.
+FORMER_SERVICE_LIFETIME_S: Final = 60.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +48,45 @@
     services: dict[int, str] = field(default_factory=dict)
 
 
+class FormerServices:
+    """Services that routes had in earlier tables, where flows may still be open."""
+
+    # Times at which the services were replaced, by address and port and by name.
+    replaced_at: dict[tuple[int, int], dict[str, float]]
+
+    def __init__(self) -> None:
+        self.replaced_at = {}
+
+    def record(self, former: RouteIndex, routes: RouteIndex, now: float) -> None:
+        """Record the services that a newer table names no longer; drop expired ones."""
+        for address, route in former.routes.items():
+            newer = routes.routes.get(address)
+            kept = newer.services if newer is not None else ()
+            dropped = [name for name in route.services if name not in kept]
+            if dropped:
+                self.replaced_at.setdefault(address, {}).update(
+                    dict.fromkeys(dropped, now)
+                )
+        self.replaced_at = {
+            address: services
+            for address, times in self.replaced_at.items()
+            if (services := select_recent(times, now))
+        }
+
+    def list_services(self, address: tuple[int, int], now: float) -> list[str]:
+        """Return the names of the services that a route had lately."""
+        return list(select_recent(self.replaced_at.get(address, {}), now))
+
+
+def select_recent(times: dict[str, float], now: float) -> dict[str, float]:
+    """Return the services whose flows may still be open."""
+    return {
+        name: replaced_at
+        for name, replaced_at in times.items()
+        if now - replaced_at <= FORMER_SERVICE_LIFETIME_S
+    }
+
+
 def index_routes(table: state_pb2.RouteTable) -> RouteIndex:
     """Return the index of a route table."""
     routes = {
--- a/tests/forwarding/simulation.py
+++ b/tests/forwarding/simulation.py
@@ -26,6 +26,7 @@
 from lentilfork.forwarding.packets import PacketFlags
 from lentilfork.forwarding.roster import AgentRecord
 from lentilfork.forwarding.roster import Roster
+from lentilfork.forwarding.routes import RouteIndex
 from lentilfork.forwarding.routes import index_routes
 from lentilfork.platform.header import HEADER
 from lentilfork.platform.header import HeaderCodec
@@ -72,6 +73,28 @@
     return header + payload
 
 
+def make_routes(version: int, weights: dict[str, int]) -> RouteIndex:
+    """Return a table with one route to services with the given weights."""
+    return index_routes(
+        state_pb2.RouteTable(
+            version=version,
+            routes=[
+                state_pb2.Route(
+                    address=ADDRESS,
+                    port=PORT,
+                    targets=[
+                        state_pb2.Target(service=service, weight=weight)
+                        for service, weight in weights.items()
+                    ],
+                    deadline_ms=1000,
+                    target_ms=100,
+                    priority=1,
+                )
+            ],
+        )
+    )
+
+
 @dataclass
 class Attempt:
     """One attempt at a request, which uses its own flow."""
@@ -194,10 +217,17 @@
     """Host of an agent and its backend server."""
 
     def __init__(
-        self, world: "World", name: str, data_centre: str, speed: float, slots: int
+        self,
+        world: "World",
+        name: str,
+        data_centre: str,
+        speed: float,
+        slots: int,
+        service: str = SERVICE,
     ) -> None:
         self.world = world
         self.name = name
+        self.service = service
         self.data_centre = data_centre
         self.address = (name, 1)
         self.server = Server(self, speed, slots)
@@ -208,7 +238,7 @@
             1,
             1,
             self.address,
-            SERVICE,
+            service,
             data_centre,
             slots,
             accepting=False,
@@ -216,7 +246,7 @@
             subscribes=True,
         )
         self.agent = FlowAgent(
-            record, CODEC, self.roster, BackendServer(SERVICE, 1.0), Counters(), 0.0
+            record, CODEC, self.roster, BackendServer(service, 1.0), Counters(), 0.0
         )
         self.agent.connect(
             self.send,
@@ -275,7 +305,7 @@
             self.name,
             1,
             next(self.sequence),
-            SERVICE,
+            self.service,
             self.server.slots,
             state,
             cold_ms,
@@ -315,21 +345,7 @@
     def make_balancer(self, data_centre: str) -> FlowBalancer:
         """Return a balancer whose table has one route."""
         balancer = FlowBalancer(CODEC, Roster(), data_centre, Counters(), DecisionLog())
-        balancer.routes = index_routes(
-            state_pb2.RouteTable(
-                version=1,
-                routes=[
-                    state_pb2.Route(
-                        address=ADDRESS,
-                        port=PORT,
-                        targets=[state_pb2.Target(service=SERVICE, weight=1)],
-                        deadline_ms=1000,
-                        target_ms=100,
-                        priority=1,
-                    )
-                ],
-            )
-        )
+        balancer.routes = make_routes(1, {SERVICE: 1})
 
         def send(data: bytes, address: tuple[str, int]) -> None:
             self.send(data, (data_centre, 0), data_centre, address)
@@ -345,10 +361,11 @@
         speed: float,
         slots: int,
         *,
+        service: str = SERVICE,
         after_start: bool = True,
     ) -> AgentHost:
         """Add a host with an agent and a backend server."""
-        host = AgentHost(self, name, data_centre, speed, slots)
+        host = AgentHost(self, name, data_centre, speed, slots, service)
         self.hosts[name] = host
         host.announce_server()
         host.tick()
@@ -534,5 +551,6 @@
     "World",
     "get_percentile",
     "make_packet",
+    "make_routes",
     "simulate_ideal_queue",
 ]
