forwarding: divide flows among services by weights of any size

What callers saw: services of a route with weights got other shares than the weights say. Where the weights add up to more than 256, the last services got too little or nothing; 100 and 100 sent 61% to the first.

Cause: Route.choose_service took the flow's bucket, one of 256, modulo the sum of the weights. That is even only if the sum divides 256. Each change of the sum also moved flows between services whose weights had stayed.

Change: the service is chosen by weighted rendezvous hashing of the whole flow key with the service's name. The result depends on nothing but the table and the key, so all balancers and agents agree; a raised weight moves flows only to its service, and scaled or reordered weights move none. Routes with one service are not affected. Balancers of the former build choose differently for routes with several services; agents find open flows of either build, as they do after a change of weights.

Evidence: of the 12 cases of tests/forwarding/test_routes.py 10 failed on the former code (of 20,000 flows with weights 256 and 256, the second service got none), and all pass now. All 179 tests of tests/forwarding passed, all 68 of tests/platform too.

--- a/src/lentilfork/forwarding/balancer.py
+++ b/src/lentilfork/forwarding/balancer.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable
 from typing import Final
 
-from lentilfork.buckets import find_bucket
 from lentilfork.counters import Counters
 from lentilfork.forwarding.decisions import DecisionLog
 from lentilfork.forwarding.envelopes import Envelope
@@ -118,7 +117,7 @@
     def forward(self, packet: FlowPacket, route: Route, now: float) -> None:
         """Send a packet to the owner of its flow."""
         key = make_caller_key(packet)
-        service = hash_name(route.choose_service(find_bucket(key)))
+        service = hash_name(route.choose_service(key))
         owners = self.roster.rank_owners(service, self.ingress, key)
         if not owners and not packet.is_opening:
             service, owners = self.find_other_owners(packet, route, key, now)
--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -10,7 +10,6 @@
 from dataclasses import replace
 from typing import Final
 
-from lentilfork.buckets import find_bucket
 from lentilfork.counters import Counters
 from lentilfork.forwarding.decisions import DecisionLog
 from lentilfork.forwarding.envelopes import Envelope
@@ -374,7 +373,7 @@
         route = self.routes.routes.get((destination, destination_port))
         service = self.service
         if route is not None:
-            service = hash_name(route.choose_service(find_bucket(key)))
+            service = hash_name(route.choose_service(key))
         owners = self.roster.rank_owners(service, ingress, key)
         return owners or self.roster.rank_owners(self.service, ingress, key)
 
--- a/src/lentilfork/forwarding/routes.py
+++ b/src/lentilfork/forwarding/routes.py
@@ -1,11 +1,13 @@
 """The routes of forwarded flows, indexed by address and port."""
 
-from bisect import bisect_right
+import math
+from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
-from itertools import accumulate
 from typing import Final
 
+import xxhash
+
 from lentilfork.forwarding.packets import hash_name
 from lentilfork.schema import state_pb2
 
@@ -13,6 +15,7 @@
 
 # A flow that was opened under an earlier table may be dropped at this age.
 FORMER_SERVICE_LIFETIME_S: Final = 60.0
+HASH_RANGE: Final = 1 << 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,20 +23,33 @@
     """Services and limits of the flows to one address and port."""
 
     services: tuple[str, ...]
-    # Cumulative sums of the services' weights.
+    # Weights of the services, above zero.
     weights: tuple[int, ...]
     deadline_ms: int
     target_ms: int
     priority: int
 
-    def choose_service(self, flow_hash: int) -> str:
-        """Return the service of a flow by weight.
+    def choose_service(self, flow_key: bytes) -> str:
+        """Return the service of a flow by weighted rendezvous hashing.
 
-        The same hash always gives the same service, so all packets of a flow agree.
+        All processes with the same table agree. A changed weight moves no flows between
+        services whose weights stay.
         """
         if len(self.services) == 1:
             return self.services[0]
-        return self.services[bisect_right(self.weights, flow_hash % self.weights[-1])]
+        return min(
+            zip(self.services, self.weights, strict=True),
+            key=lambda target: draw_arrival(flow_key, *target),
+        )[0]
+
+
+def draw_arrival(flow_key: bytes, service: str, weight: int) -> float:
+    """Return an exponentially distributed number whose rate is the weight.
+
+    The smallest of several is each one's with a probability in proportion to its rate.
+    """
+    digest = xxhash.xxh3_64_intdigest(flow_key, seed=hash_name(service))
+    return -math.log((digest + 1) / HASH_RANGE) / weight
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,12 +103,20 @@
     }
 
 
+def sum_weights(item: state_pb2.Route) -> tuple[tuple[str, ...], tuple[int, ...]]:
+    """Return the services of a route that have a weight, and these weights."""
+    weights = Counter[str]()
+    for target in item.targets:
+        weights[target.service] += target.weight
+    weights = +weights
+    return tuple(weights), tuple(weights.values())
+
+
 def index_routes(table: state_pb2.RouteTable) -> RouteIndex:
     """Return the index of a route table."""
     routes = {
         (item.address, item.port): Route(
-            tuple(target.service for target in item.targets),
-            tuple(accumulate(target.weight for target in item.targets)),
+            *sum_weights(item),
             item.deadline_ms,
             item.target_ms,
             item.priority,
