forwarding: reset only flows that were open at the own server

Cause: an agent keeps an entry for each SYN that it was offered. `reset_all_flows` reset every entry that wasn't closed, also flows that never opened there, with the number 0 or, if a packet of the flow had passed through this agent, with the caller's number, which the caller accepts. `handle_rejected` had a similar fault: if a packet that acknowledges another server overtook the SYN-ACK, its rejection counted as a lost flow.

Change: a flow counts as open here once the agent has delivered a caller's packet that acknowledges its server's SYN-ACK, exactly, or after a restart of the agent once its server has sent payload. Only then is the caller's number noted, and only such flows are reset; the others are removed.

--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -200,7 +200,7 @@
             return
         else:
             self.flows.record_use(flow, now)
-            flow.acknowledged = packet.acknowledgement
+            flow.record_acknowledgement(packet.acknowledgement)
             if packet.payload_bytes and self.flows.record_request(flow, now):
                 flow.answer_sequence = packet.acknowledgement
                 self.decisions.write(
@@ -306,6 +306,9 @@
             flow.sequence = packet.sequence
             flow.notified_owner = ""
             self.confirm_offer(flow, now)
+        if packet.payload_bytes:
+            # After a restart of this agent, the SYN-ACK of the flow is not known.
+            flow.opened = True
         if packet.payload_bytes or packet.flags & ENDED:
             self.record_answer(flow, packet, now)
         if packet.flags & ENDED:
@@ -391,7 +394,7 @@
     def handle_rejected(self, packet: FlowPacket, now: float) -> None:
         """Handle a packet that the backend server rejected.
 
-        A SYN is offered to another agent, a flow that the server had opened is reset,
+        A SYN is offered to another agent, a flow that was open at the server is reset,
         and any other packet is forwarded to the next agent.
         """
         data = self.codec.write_tag(packet.data, 0)
@@ -416,14 +419,25 @@
         if returned.is_opening:
             self.flows.remove(key)
             self.owner.place_elsewhere(envelope, returned, now, "rejected")
-        elif flow is not None and flow.sequence is not None:
+        elif (
+            flow is not None
+            and flow.opened
+            and flow.sequence is not None
+            and flow.accepts_acknowledgement(returned.acknowledgement)
+        ):
             self.reset_lost_flow(flow, returned)
         else:
             self.forward_to_next_agent(returned, envelope)
 
     def reset_all_flows(self, reason: str) -> None:
-        """Reset all open flows because the backend server no longer holds them."""
+        """Reset the flows that were open at the backend server, which lost them.
+
+        Others that it was offered are only removed: they may be open elsewhere.
+        """
         for flow in self.flows.list_open():
+            if flow.acknowledged is None:
+                self.flows.remove(flow.key)
+                continue
             self.counters.add("flows_reset", "backend_server_restarted")
             self.decisions.write("reset", flow.key, reason)
             self.flows.remove(flow.key)
--- a/src/lentilfork/forwarding/flows.py
+++ b/src/lentilfork/forwarding/flows.py
@@ -34,6 +34,8 @@
 # Largest distance of a sequence number from the flow's first one: more than any answer,
 # and small enough that a number of another flow is unlikely to match.
 MAXIMUM_ANSWER_BYTES: Final = 1 << 26
+# Sequence numbers that a SYN takes up (RFC 9293).
+SYN_SEQUENCE_NUMBERS: Final = 1
 
 
 @dataclass(slots=True)
@@ -43,9 +45,9 @@
     key: bytes
     # Identifier of the data centre of the flow's balancer; 0 if it is not known.
     ingress: int
-    # Last acknowledgement of the caller; a reset of the flow must carry a number near
-    # it.
-    acknowledged: int
+    # Last acknowledgement of the caller since the flow opened here, None before that; a
+    # reset of the flow must carry a number near it.
+    acknowledged: int | None
     offered_at: float
     used_at: float
     # First sequence number of the backend server; None if its SYN-ACK was not seen.
@@ -64,6 +66,9 @@
     # Number of requests at the backend server when the request was delivered, including
     # this one.
     running_at_start: int = 0
+    # Whether it is known that the caller uses the flow with this backend server, not
+    # with another one that answered its SYN as well.
+    opened: bool = False
     closed: bool = False
     # Address of the agent that offered the flow here; None for this agent.
     offered_by: tuple[str, int] | None = None
@@ -74,6 +79,18 @@
         """Return whether a caller's acknowledgement can belong to this flow."""
         return self.sequence is None or is_within(acknowledgement, self.sequence)
 
+    def record_acknowledgement(self, acknowledgement: int) -> None:
+        """Record the acknowledgement in a caller's packet that was delivered.
+
+        The backend server sends nothing after its SYN-ACK until the caller has
+        acknowledged that, so the packet that opens the flow acknowledges no more.
+        """
+        if self.sequence is not None:
+            beyond = (acknowledgement - self.sequence) % SEQUENCE_MODULUS
+            self.opened = self.opened or beyond <= SYN_SEQUENCE_NUMBERS
+        if self.opened:
+            self.acknowledged = acknowledgement
+
     def accepts_sequence(self, sequence: int) -> bool:
         """Return whether a packet of the backend server can belong to this flow.
 
@@ -147,7 +164,7 @@
         flow = self.flows.get(key)
         if flow is None or flow.closed:
             former_sequence = flow.sequence if flow is not None else None
-            flow = Flow(key, ingress, 0, now, now, former_sequence=former_sequence)
+            flow = Flow(key, ingress, None, now, now, former_sequence=former_sequence)
             self.flows[key] = flow
             self.awaiting_request[key] = now
             flow.outstanding = True
@@ -157,7 +174,7 @@
 
     def add_existing(self, key: bytes, now: float) -> Flow:
         """Add a flow that is not in the table, such as one opened before a restart."""
-        flow = Flow(key, 0, 0, now, now)
+        flow = Flow(key, 0, None, now, now)
         self.flows[key] = flow
         return flow
 
