forwarding: send packets where the caller's choice shows the flow open

Cause: the placement notice is one datagram. When it was lost or late, the owner offered the SYN to a second agent after 80 ms, although the caller had acknowledged the first one's SYN-ACK through this owner, and its directory named the second agent from then on. Of two notices, the later one counted, whichever SYN-ACK the caller had chosen. A refusal notice removed the entry of a flow that had opened meanwhile, and was also sent for SYNs that were dropped because their flow may be open elsewhere. After a change of owner, every agent that had answered the SYN claimed the flow.

Change: a packet other than a SYN ends the pending offer. A repeated offer changes no directory entry; it starts a contest. While a contest is undecided, the owner forwards each packet of the caller to all agents that got the SYN, marked with the envelope's existing flag; the agent whose sequence number it acknowledges notifies the owner, which ends the contest. Others forward the packet as before, since it doesn't acknowledge their server. An agent that gets a packet of its open flow by search notifies the owner as well, at most every 100 ms, which repairs an entry that is wrong or that a restarted owner lacks. A refusal notice counts only while its only offer is pending. Only flows that the caller has chosen are reported to a new owner.

A contested packet costs up to two more datagrams until the agent's notice arrives; flows with one offer cost nothing more.

--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -48,6 +48,9 @@
 # tag can count. The agent that holds the flow notifies a new owner by itself, so in a
 # larger service the flow is found by a retransmission of the packet.
 MAXIMUM_SEARCH_HOPS: Final = 250
+# Interval of notices to an owner that forwards packets as if it didn't know the flow:
+# longer than a notice takes, shorter than the caller's first retransmission.
+CONFIRMATION_INTERVAL_S: Final = 0.1
 
 
 class FlowDelivery:
@@ -162,7 +165,10 @@
         local_choice = Choice(None, self.flows.estimate_s(), self.flows.has_free_slot)
         if self.owner.admission.is_still_in_time(envelope, local_choice):
             return True
-        if not self.owner.place_or_refuse(envelope, packet, local_choice, now):
+        placed = self.owner.place_or_refuse(envelope, packet, local_choice, now)
+        # Other SYNs are dropped, not refused, as they may have opened a flow elsewhere.
+        is_only_syn = packet.acknowledgement == 0 and not envelope.repeated
+        if not placed and is_only_syn:
             self.notify_refused(envelope, make_caller_key(packet), now)
         return False
 
@@ -201,6 +207,8 @@
         else:
             self.flows.record_use(flow, now)
             flow.record_acknowledgement(packet.acknowledgement)
+            if flow.opened and (envelope.repeated or envelope.hops):
+                self.confirm_flow(flow, envelope, now)
             if packet.payload_bytes and self.flows.record_request(flow, now):
                 flow.answer_sequence = packet.acknowledgement
                 self.decisions.write(
@@ -215,6 +223,22 @@
                 self.flows.close(flow)
         self.deliver_to_server(packet, envelope.hops)
 
+    def confirm_flow(self, flow: Flow, envelope: Envelope, now: float) -> None:
+        """Notify the owner of a flow, which does not know that it is open here."""
+        if now - flow.confirmed_at < CONFIRMATION_INTERVAL_S:
+            return
+        flow.confirmed_at = now
+        address = envelope.sender
+        if envelope.hops:
+            # The sender is not the owner, but another agent that was asked.
+            owners = self.rank_owners_by_route(flow.key, envelope.ingress)
+            local = not owners or owners[0].name == self.name
+            address = None if local else owners[0].address
+        if address is None:
+            self.owner.handle_placement_notice(flow.key, self.name, now)
+        else:
+            self.send(encode_placement_notice(flow.key, self.name), address)
+
     def deliver_to_server(self, packet: FlowPacket, hops: int) -> None:
         """Send a packet to the backend server with `hops` as its tag."""
         self.counters.add("packets_delivered")
@@ -387,9 +411,13 @@
         self.notify_new_owners(now)
 
     def notify_new_owners(self, now: float) -> None:
-        """Notify the owners of open flows whose owner changed with roster or routes."""
+        """Notify the owners of open flows whose owner changed with roster or routes.
+
+        Flows whose caller may have chosen another backend server are left out.
+        """
         for flow in self.flows.list_open():
-            self.notify_owner(flow, now)
+            if flow.opened or flow.sequence is None:
+                self.notify_owner(flow, now)
 
     def handle_rejected(self, packet: FlowPacket, now: float) -> None:
         """Handle a packet that the backend server rejected.
--- a/src/lentilfork/forwarding/envelopes.py
+++ b/src/lentilfork/forwarding/envelopes.py
@@ -66,8 +66,9 @@
     target_ms: int
     priority: int
     data: bytes
-    # Whether this SYN was offered to another agent before, where its flow may be open;
-    # for other packets, whether a copy went to the owner under another service.
+    # Whether the SYN of this flow was also offered to another agent, where the flow may
+    # be open, or this is a copy for the owner under another service. An agent that
+    # delivers such a packet to an open flow notifies the owner.
     repeated: bool = False
     # Address that the envelope came from; None if it was made in this process.
     sender: SocketName | None = None
--- a/src/lentilfork/forwarding/flows.py
+++ b/src/lentilfork/forwarding/flows.py
@@ -74,6 +74,8 @@
     offered_by: tuple[str, int] | None = None
     # Name of the owner that was last notified of this flow; "" if none was.
     notified_owner: str = ""
+    # Time of the last notice that the caller uses the flow with this backend server.
+    confirmed_at: float = float("-inf")
 
     def accepts_acknowledgement(self, acknowledgement: int) -> bool:
         """Return whether a caller's acknowledgement can belong to this flow."""
--- a/src/lentilfork/forwarding/ownership.py
+++ b/src/lentilfork/forwarding/ownership.py
@@ -3,9 +3,10 @@
 An owner offers a SYN to the agent whose answer is expected first and records that
 placement. The agent confirms an opened flow with a placement notice; if the notice
 does not arrive in time, the SYN is also offered to another agent. The caller uses
-only one of the SYN-ACKs, so a second offer is harmless. Packets of flows that the
-owner does not know, such as flows of a previous owner, are forwarded from agent to
-agent until one of them holds the flow.
+only one of the SYN-ACKs, and the owner learns which one from the agent that delivers
+the caller's next packet. Until then it forwards packets of the flow to all agents that
+the flow was offered to. Packets of flows that the owner does not know, such as flows of
+a previous owner, are forwarded from agent to agent until one of them holds the flow.
 """
 
 from collections import OrderedDict
@@ -46,6 +47,9 @@
 # Times a SYN that a backend server does not accept is offered to yet another agent
 # before the flow is refused.
 MAXIMUM_SYN_HOPS: Final = 4
+# Lifetime of a contest: a caller gives up 1.4 s after its first SYN, and later packets
+# of an open flow end the contest.
+CONTEST_LIFETIME_S: Final = 2.0
 
 
 @dataclass(slots=True)
@@ -59,6 +63,16 @@
     agents: list[str]
 
 
+@dataclass(slots=True)
+class Contest:
+    """Agents that a SYN was offered to, of which the caller chooses one."""
+
+    agents: list[str]
+    offered_at: float
+    # Whether the caller has acknowledged a SYN-ACK.
+    acknowledged: bool = False
+
+
 class FlowOwner:
     """Directory and placement of the flows that one agent owns.
 
@@ -76,6 +90,8 @@
     directory: Directory
     # Pending offers by flow key, ordered by the time of the last offer.
     offers: OrderedDict[bytes, Offer]
+    # Flows that were offered to several agents, oldest first.
+    contests: OrderedDict[bytes, Contest]
     admission: Admission
     counters: Counters
     decisions: DecisionLog
@@ -102,6 +118,7 @@
         self.loads = loads
         self.directory = Directory(idle_timeout_s)
         self.offers = OrderedDict()
+        self.contests = OrderedDict()
         self.admission = Admission()
         self.counters = counters
         self.decisions = decisions
@@ -109,6 +126,11 @@
     def route(self, envelope: Envelope, packet: FlowPacket, now: float) -> None:
         """Forward a packet to the agent that serves its flow; place a new flow."""
         key = make_caller_key(packet)
+        if not packet.is_opening:
+            # The caller has a SYN-ACK, so it needs no other one.
+            self.offers.pop(key, None)
+            if self.forward_contested(key, envelope, packet, now):
+                return
         agent = self.find_agent(key, now)
         if (
             agent is not None
@@ -125,6 +147,27 @@
             self.counters.add("flows_searched")
             self.deliver(envelope, packet, now)
 
+    def forward_contested(
+        self, key: bytes, envelope: Envelope, packet: FlowPacket, now: float
+    ) -> bool:
+        """Forward a packet to all agents of which the caller has chosen one.
+
+        Returns whether the flow was offered to several agents that are known.
+        """
+        contest = self.contests.get(key)
+        if contest is None:
+            return False
+        contest.acknowledged = True
+        agents = [
+            self.roster.agents[name]
+            for name in contest.agents
+            if name in self.roster.agents
+        ]
+        contested = replace(envelope, repeated=True)
+        for agent in agents:
+            self.forward_to_agent(agent, contested, packet, now)
+        return bool(agents)
+
     def find_agent(self, key: bytes, now: float) -> AgentRecord | None:
         """Return the agent that serves a flow, or None if it is not known."""
         name = self.directory.find(key, now)
@@ -188,16 +231,21 @@
                 priority=envelope.priority,
             )
             return
+        self.contests.pop(key, None)
         self.offers[key] = Offer(envelope, packet, now, [choice.agent.name])
         self.send_offer(choice, envelope, packet, now)
 
     def send_offer(
         self, choice: Choice, envelope: Envelope, packet: FlowPacket, now: float
     ) -> None:
-        """Offer a flow to the given agent and record the placement."""
+        """Offer a flow to the given agent and record the placement.
+
+        A repeated offer changes no directory entry: the flow may be open already.
+        """
         assert choice.agent is not None
         key = make_caller_key(packet)
-        self.directory.record(key, choice.agent.name, now)
+        if not envelope.repeated:
+            self.directory.record(key, choice.agent.name, now)
         self.loads.record_placement(choice.agent.name)
         self.counters.add("flows_placed")
         self.decisions.write(
@@ -277,16 +325,33 @@
         return False
 
     def handle_placement_notice(self, key: bytes, agent: str, now: float) -> None:
-        """Record where a flow opened or is served; "" means that it was refused."""
+        """Record where a flow opened or is served; "" means that it was refused.
+
+        A refusal without a pending offer is late: the flow has opened meanwhile.
+        """
+        offer = self.offers.pop(key, None)
+        contest = self.contests.get(key)
         if not agent:
-            self.offers.pop(key, None)
-            self.directory.entries.pop(key, None)
+            if offer is not None and contest is None:
+                self.directory.entries.pop(key, None)
             return
-        self.directory.record(key, agent, now)
-        offer = self.offers.pop(key, None)
         if offer is not None:
             self.loads.record_opening(agent)
             self.counters.observe("opening_time", now - offer.sent_at)
+        if contest is not None:
+            if not contest.acknowledged:
+                # Another SYN-ACK may reach the caller first.
+                return
+            del self.contests[key]
+        self.directory.record(key, agent, now)
+
+    def expire_contests(self, now: float) -> None:
+        """Remove contests that the caller has left undecided."""
+        while self.contests:
+            key, contest = next(iter(self.contests.items()))
+            if now - contest.offered_at <= CONTEST_LIFETIME_S:
+                return
+            del self.contests[key]
 
     @property
     def next_retry_at(self) -> float:
@@ -296,6 +361,7 @@
 
     def retry_offers(self, now: float) -> None:
         """Offer flows that were not confirmed in time to other agents as well."""
+        self.expire_contests(now)
         while self.offers:
             key, offer = next(iter(self.offers.items()))
             if now - offer.sent_at < OFFER_TIMEOUT_S:
@@ -320,5 +386,6 @@
             offer.agents.append(choice.agent.name)
             offer.sent_at = now
             self.offers[key] = offer
+            self.contests.setdefault(key, Contest(offer.agents, now))
             repeated = replace(offer.envelope, repeated=True)
             self.send_offer(choice, repeated, offer.packet, now)
