forwarding: find flows beyond an agent that has stopped

What callers saw: packets of an open flow that its owner didn't know, such as after a restart of the owner, weren't delivered while an agent between the owner and the holder (by name) had stopped and wasn't listed as lost yet.

Cause: a search asks the agents in order of their names, each one forwarding the packet to the next. One that has stopped forwards nothing, and each retransmission took the same way. Found flows weren't entered in the directory either if a server had rejected the packet on its way: that agent wrote its own data centre into the envelope, so the wrong owner was notified.

Change: each further search for a flow that begins at an agent goes the other way; a new kind of envelope and a bit of the tag carry the direction. So one agent that has stopped delays the flow until the caller's next packet; the notice of the agent that holds it ends the searching. The holder derives the owner from the ingress of the flow, if it knows it.

Two agents that have stopped, one on each side, still cut off those between them until they are listed as lost.

--- a/src/lentilfork/forwarding/agent.py
+++ b/src/lentilfork/forwarding/agent.py
@@ -136,7 +136,7 @@
     ) -> None:
         """Handle a datagram of a balancer or of another agent."""
         match kind:
-            case Kind.ROUTE | Kind.DELIVER:
+            case Kind.ROUTE | Kind.DELIVER | Kind.SEARCH_BACK:
                 self.handle_envelope(kind, data, sender, now)
             case Kind.NOTE:
                 notice = decode_placement_notice(data)
--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -6,6 +6,7 @@
 forwarded it, so that a packet of an unknown flow is dropped after all were asked.
 """
 
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Final
@@ -48,6 +49,11 @@
 # tag can count. The agent that holds the flow notifies a new owner by itself, so in a
 # larger service the flow is found by a retransmission of the packet.
 MAXIMUM_SEARCH_HOPS: Final = 250
+# A tag is the number of hops, and this bit if the flow is searched in reverse order.
+SEARCH_BACK_TAG: Final = 1 << 8
+HOPS_MASK: Final = SEARCH_BACK_TAG - 1
+# Searches whose direction is known: flows that a restarted owner looks for at a time.
+MAXIMUM_SEARCHES: Final = 4096
 # Interval of notices to an owner that forwards packets as if it didn't know the flow:
 # longer than a notice takes, shorter than the caller's first retransmission.
 CONFIRMATION_INTERVAL_S: Final = 0.1
@@ -80,6 +86,8 @@
     # packet other than a rejected one, and the time of the first of them.
     unanswered_syns: int
     unanswered_since: float
+    # Whether the last search for a flow that began here was in reverse order.
+    searches: OrderedDict[bytes, bool]
     send: Callable[[bytes, SocketName], None]
     send_to_caller: Callable[[bytes, int], None]
     send_to_server: Callable[[bytes], None]
@@ -114,6 +122,7 @@
         self.failures = FailureRate()
         self.unanswered_syns = 0
         self.unanswered_since = 0.0
+        self.searches = OrderedDict()
 
     def deliver(self, envelope: Envelope, packet: FlowPacket, now: float) -> None:
         """Deliver a packet to the backend server, or forward it to another agent.
@@ -149,7 +158,7 @@
         if self.unanswered_syns == 0:
             self.unanswered_since = now
         self.unanswered_syns += 1
-        self.deliver_to_server(packet, envelope.hops)
+        self.deliver_to_server(packet, envelope)
 
     def confirm_placement(
         self, envelope: Envelope, packet: FlowPacket, now: float
@@ -221,7 +230,7 @@
                 )
             if packet.flags & PacketFlags.RST:
                 self.flows.close(flow)
-        self.deliver_to_server(packet, envelope.hops)
+        self.deliver_to_server(packet, envelope)
 
     def confirm_flow(self, flow: Flow, envelope: Envelope, now: float) -> None:
         """Notify the owner of a flow, which does not know that it is open here."""
@@ -230,8 +239,10 @@
         flow.confirmed_at = now
         address = envelope.sender
         if envelope.hops:
-            # The sender is not the owner, but another agent that was asked.
-            owners = self.rank_owners_by_route(flow.key, envelope.ingress)
+            # The sender is not the owner, but another agent that was asked. An agent
+            # whose server rejected the packet doesn't know its ingress.
+            ingress = flow.ingress or envelope.ingress
+            owners = self.rank_owners_by_route(flow.key, ingress)
             local = not owners or owners[0].name == self.name
             address = None if local else owners[0].address
         if address is None:
@@ -239,10 +250,25 @@
         else:
             self.send(encode_placement_notice(flow.key, self.name), address)
 
-    def deliver_to_server(self, packet: FlowPacket, hops: int) -> None:
-        """Send a packet to the backend server with `hops` as its tag."""
+    def deliver_to_server(self, packet: FlowPacket, envelope: Envelope) -> None:
+        """Send a packet to the backend server; its tag keeps the state of a search."""
         self.counters.add("packets_delivered")
-        self.send_to_server(self.codec.write_tag(packet.data, hops))
+        tag = envelope.hops
+        if envelope.kind is Kind.SEARCH_BACK:
+            tag |= SEARCH_BACK_TAG
+        self.send_to_server(self.codec.write_tag(packet.data, tag))
+
+    def choose_direction(self, key: bytes) -> Kind:
+        """Return the kind of envelope for a search that begins here.
+
+        Each further search for a flow goes the other way, since an agent that has
+        stopped and doesn't count as lost yet ends a search.
+        """
+        backward = not self.searches.pop(key, True)
+        self.searches[key] = backward
+        if len(self.searches) > MAXIMUM_SEARCHES:
+            self.searches.popitem(last=False)
+        return Kind.SEARCH_BACK if backward else Kind.DELIVER
 
     def search_other_services(
         self, envelope: Envelope, packet: FlowPacket, now: float
@@ -286,18 +312,20 @@
             for agent in self.roster.list_agents(self.service)
             if not agent.lost or agent.name == self.name
         ]
+        key = make_caller_key(packet)
         hops = envelope.hops + 1
         if hops >= min(len(agents), MAXIMUM_SEARCH_HOPS):
             self.counters.add("packets_dropped", "flow_not_found")
-            key = make_caller_key(packet)
             self.decisions.write("dropped", key, "no agent holds the flow", hops=hops)
             return
         position = next(
             (index for index, agent in enumerate(agents) if agent.name == self.name), 0
         )
-        next_agent = agents[(position + 1) % len(agents)]
+        kind = envelope.kind if envelope.hops else self.choose_direction(key)
+        step = -1 if kind is Kind.SEARCH_BACK else 1
+        next_agent = agents[(position + step) % len(agents)]
         self.counters.add("packets_passed_on")
-        forwarded = replace(envelope, kind=Kind.DELIVER, hops=hops, data=packet.data)
+        forwarded = replace(envelope, kind=kind, hops=hops, data=packet.data)
         self.send(encode_envelope(forwarded), next_agent.address)
 
     def handle_server_packet(self, data: bytes, now: float) -> None:
@@ -434,9 +462,10 @@
         key = make_caller_key(returned)
         flow = self.flows.find(key)
         ingress = flow.ingress if flow is not None else 0
+        is_backward = bool(packet.tag & SEARCH_BACK_TAG)
         envelope = Envelope(
-            Kind.DELIVER,
-            packet.tag,
+            Kind.SEARCH_BACK if is_backward else Kind.DELIVER,
+            packet.tag & HOPS_MASK,
             self.service,
             ingress or self.data_centre,
             0,
--- a/src/lentilfork/forwarding/envelopes.py
+++ b/src/lentilfork/forwarding/envelopes.py
@@ -45,6 +45,8 @@
     UPDATE = 6
     # Asks an agent for its load reports; has no content.
     LOAD_SUBSCRIPTION = 7
+    # Envelope like `DELIVER`, of a packet whose flow is searched in reverse order.
+    SEARCH_BACK = 8
 
 
 KINDS: Final = {int(kind): kind for kind in Kind}
--- a/tests/forwarding/test_delivery.py
+++ b/tests/forwarding/test_delivery.py
@@ -123,6 +123,38 @@
     assert host.agent.counters.get("packets_dropped", "flow_not_found") == 1
 
 
+# Guards against flows that no search finds as long as an agent that has stopped isn't
+# listed as lost.
+@pytest.mark.parametrize("stopped", range(4))
+@pytest.mark.parametrize("complete", [False, True])
+def test_search_finds_a_flow_beyond_an_agent_that_has_stopped(
+    stopped: int, *, complete: bool
+) -> None:
+    world = World([1.0] * 6)
+    for host in world.hosts.values():
+        # Owners place the flow on another agent.
+        host.agent.loads.get_or_create(host.name).accepting = False
+    open_long_flow(world)
+    owner = next(
+        host for host in world.hosts.values() if host.agent.owner.directory.entries
+    )
+    holder = next(host for host in world.hosts.values() if host.server.running)
+    assert owner is not holder
+    clear_directories(world)
+    if not complete:
+        # The servers have to be asked.
+        for host in world.hosts.values():
+            host.agent.delivery.flows_complete_since = 60.0
+    others = [host for host in world.hosts.values() if host not in (owner, holder)]
+    others[stopped].down = True
+    for _ in range(2):
+        send_acknowledgement(world)()
+        world.clock.run(world.clock.now + 0.2)
+    entry = next(iter(owner.agent.owner.directory.entries.values()))
+    assert entry.agent == holder.name
+    assert world.resets_of_open_flows == 0
+
+
 def test_refused_syn_retransmission_is_not_reset() -> None:
     world = World([1.0])
     host = world.hosts["agent-0"]
