forwarding: don't reset a flow whose repeated or late SYN was rejected

What callers saw: a reset of a flow that had opened at another backend server (FLOW).

Cause: an owner marks a repeated offer, since its flow may be open at another agent, and such a SYN is dropped instead of being refused. If the backend server rejected the SYN, its agent made a new envelope without the mark, and reset the flow if no other agent took it. The first offer carries no mark at all; if its server rejects it after the owner has repeated the offer, the same happened.

A SYN that is rejected at once is refused as before.

--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -21,6 +21,7 @@
 from lentilfork.forwarding.flows import Flow
 from lentilfork.forwarding.flows import FlowTable
 from lentilfork.forwarding.loads import FULL_PERCENT
+from lentilfork.forwarding.ownership import OFFER_TIMEOUT_S
 from lentilfork.forwarding.ownership import FlowOwner
 from lentilfork.forwarding.packets import KEY
 from lentilfork.forwarding.packets import FlowPacket
@@ -54,6 +55,9 @@
 HOPS_MASK: Final = SEARCH_BACK_TAG - 1
 # Searches whose direction is known: flows that a restarted owner looks for at a time.
 MAXIMUM_SEARCHES: Final = 4096
+# A SYN that is rejected later than this isn't answered with a reset. The rest of the
+# time until the owner repeats its offer is for the way from the owner.
+REJECTION_TIMEOUT_S: Final = OFFER_TIMEOUT_S / 2
 # Interval of notices to an owner that forwards packets as if it didn't know the flow:
 # longer than a notice takes, shorter than the caller's first retransmission.
 CONFIRMATION_INTERVAL_S: Final = 0.1
@@ -155,6 +159,7 @@
             return
         flow = self.flows.record_offer(key, envelope.ingress, now)
         flow.offered_by = envelope.sender
+        flow.repeated = flow.repeated or envelope.repeated
         if self.unanswered_syns == 0:
             self.unanswered_since = now
         self.unanswered_syns += 1
@@ -474,6 +479,7 @@
             data,
         )
         if returned.is_opening:
+            envelope.repeated = self.may_be_open_elsewhere(flow, now)
             self.flows.remove(key)
             self.owner.place_elsewhere(envelope, returned, now, "rejected")
         elif (
@@ -486,6 +492,15 @@
         else:
             self.forward_to_next_agent(returned, envelope)
 
+    def may_be_open_elsewhere(self, flow: Flow | None, now: float) -> bool:
+        """Return whether a flow whose SYN was rejected may be open at another agent.
+
+        If the rejection took long, the owner may have offered the flow again.
+        """
+        return (
+            flow is None or flow.repeated or now - flow.offered_at > REJECTION_TIMEOUT_S
+        )
+
     def reset_all_flows(self, reason: str) -> None:
         """Reset the flows that were open at the backend server, which lost them.
 
--- a/src/lentilfork/forwarding/flows.py
+++ b/src/lentilfork/forwarding/flows.py
@@ -72,6 +72,8 @@
     closed: bool = False
     # Address of the agent that offered the flow here; None for this agent.
     offered_by: tuple[str, int] | None = None
+    # Whether its SYN was also offered to another agent, where the flow may be open.
+    repeated: bool = False
     # Name of the owner that was last notified of this flow; "" if none was.
     notified_owner: str = ""
     # Time of the last notice that the caller uses the flow with this backend server.
--- a/src/lentilfork/forwarding/ownership.py
+++ b/src/lentilfork/forwarding/ownership.py
@@ -33,7 +33,7 @@
 from lentilfork.forwarding.roster import AgentRecord
 from lentilfork.forwarding.roster import Roster
 
-__all__ = ["FlowOwner", "Offer"]
+__all__ = ["OFFER_TIMEOUT_S", "FlowOwner", "Offer"]
 
 SocketName = tuple[str, int]
 # A running agent opens a flow within a few round trips between data centres, and the
--- a/tests/forwarding/test_resets.py
+++ b/tests/forwarding/test_resets.py
@@ -5,6 +5,7 @@
 from lentilfork.forwarding.envelopes import Envelope
 from lentilfork.forwarding.envelopes import Kind
 from lentilfork.forwarding.envelopes import encode_envelope
+from lentilfork.forwarding.ownership import OFFER_TIMEOUT_S
 from lentilfork.forwarding.packets import hash_name
 from tests.forwarding.simulation import ACK_BIT as ACK
 from tests.forwarding.simulation import ADDRESS
@@ -26,9 +27,9 @@
 OTHER_SEQUENCE = 3_000_000_000
 
 
-def make_host() -> tuple[AgentHost, list[bytes]]:
-    """Return a host and the packets that its agent sends to the caller."""
-    host = World([1.0] * 2).hosts["agent-0"]
+def make_host(hosts: int = 2) -> tuple[AgentHost, list[bytes]]:
+    """Return one of some hosts and the packets that its agent sends to the caller."""
+    host = World([1.0] * hosts).hosts["agent-0"]
     sent: list[bytes] = []
     host.agent.delivery.send_to_caller = lambda data, _address: sent.append(data)
     host.agent.owner.send_to_caller = host.agent.delivery.send_to_caller
@@ -122,3 +123,19 @@
     host.agent.handle_server_packet(rejected, host.world.clock.now)
     assert read_resets(sent) == []
     assert host.agent.counters.get("packets_passed_on") == 1
+
+
+# Guards against resets of flows that opened at the agent of another offer, while the
+# backend server of this one was full or slow.
+@pytest.mark.parametrize(
+    ("repeated", "rejected_after_s", "refused"),
+    [(False, 0.001, True), (True, 0.001, False), (False, OFFER_TIMEOUT_S, False)],
+)
+def test_rejected_syn_is_reset_only_if_no_other_agent_has_it(
+    rejected_after_s: float, *, repeated: bool, refused: bool
+) -> None:
+    host, sent = make_host(1)
+    deliver(host, SYN, repeated=repeated)
+    rejected = make_packet(CALLER, SERVICE_ADDRESS, SYN | REJECTED, 7)
+    host.agent.handle_server_packet(rejected, host.world.clock.now + rejected_after_s)
+    assert bool(read_resets(sent)) == refused
