forwarding: send copies of a contested SYN to the agent offered last

Since the directory keeps the first agent of a contest, a copy of the SYN that comes to the same owner went to that agent only, which had left the offer unanswered; before, it went to the last one.

The new test fails without the change to src; tests/forwarding passes with it (192).

--- a/src/lentilfork/forwarding/ownership.py
+++ b/src/lentilfork/forwarding/ownership.py
@@ -129,8 +129,8 @@
         if not packet.is_opening:
             # The caller has a SYN-ACK, so it needs no other one.
             self.offers.pop(key, None)
-            if self.forward_contested(key, envelope, packet, now):
-                return
+        if self.forward_contested(key, envelope, packet, now):
+            return
         agent = self.find_agent(key, now)
         if (
             agent is not None
@@ -152,16 +152,19 @@
     ) -> bool:
         """Forward a packet to all agents of which the caller has chosen one.
 
-        Returns whether the flow was offered to several agents that are known.
+        A retransmitted SYN goes to the last of them, as the others were silent. Returns
+        whether the flow was offered to several agents that are known.
         """
         contest = self.contests.get(key)
         if contest is None:
             return False
-        contest.acknowledged = True
+        names = contest.agents
+        if packet.is_opening:
+            names = names[-1:]
+        else:
+            contest.acknowledged = True
         agents = [
-            self.roster.agents[name]
-            for name in contest.agents
-            if name in self.roster.agents
+            self.roster.agents[name] for name in names if name in self.roster.agents
         ]
         contested = replace(envelope, repeated=True)
         for agent in agents:
--- a/tests/forwarding/test_offers.py
+++ b/tests/forwarding/test_offers.py
@@ -112,6 +112,15 @@
     assert not stand.agent.owner.contests
 
 
+# Guards against copies of a SYN that go to an agent that has left an offer unanswered.
+def test_copy_of_a_syn_goes_to_the_last_agent_that_it_was_offered_to() -> None:
+    stand = OwnerStand()
+    stand.route(SYN)
+    offered = stand.wait()
+    assert stand.route(SYN, 1) == offered
+    assert all(envelope.repeated for _, envelope in stand.delivered)
+
+
 # Guards against a search, or another placement, of an open flow after a late refusal.
 def test_late_refusal_does_not_remove_an_open_flow() -> None:
     stand = OwnerStand()
