platform: follow the settings file after an odd edit

What callers saw: nothing yet. A process whose settings file was edited to hold very deeply nested values or an integer of thousands of digits stopped following the file. Ports beyond 65,535 in `internal_ports` were accepted.

Cause: `tomllib` raises RecursionError and a plain ValueError for such files, which `load_settings` didn't expect, and the task that follows the file ended with the first exception. The ports of `internal_ports` weren't checked, and sockets raise OverflowError for one out of range.

Change: both errors are reported as an invalid file, ports are checked where they enter, and the task that follows the file is restarted after an error. An invalid file changes nothing, so the process keeps its earlier settings.

--- a/src/lentilfork/addresses.py
+++ b/src/lentilfork/addresses.py
@@ -4,7 +4,7 @@
 from functools import lru_cache
 from typing import Final
 
-__all__ = ["check_socket_address", "parse_address", "split_address"]
+__all__ = ["MAXIMUM_PORT", "check_socket_address", "parse_address", "split_address"]
 
 MAXIMUM_PORT: Final = 65535
 # Messages repeat the addresses of all processes many times a second.
--- a/src/lentilfork/platform/main.py
+++ b/src/lentilfork/platform/main.py
@@ -34,6 +34,7 @@
 from lentilfork.platform.settings import make_agent_settings
 from lentilfork.platform.settings import make_balancer_settings
 from lentilfork.platform.settings import make_controller_settings
+from lentilfork.tasks import start_supervised
 
 if TYPE_CHECKING:
     from lentilfork.forwarding.controller import FlowControllerRole
@@ -148,7 +149,7 @@
         await serve_metrics(role, (settings.ip, metrics_port))
     watcher = FileWatcher(path, partial(reload_settings, path, role))
     loop.add_signal_handler(signal.SIGHUP, watcher.reload)
-    watch_task = asyncio.create_task(watcher.run(), name="settings")
+    watch_task = start_supervised(watcher.run, "settings")
     log.info("started", role=role_name, node=settings.node_id)
     await stopping.wait()
     log.info("draining")
--- a/src/lentilfork/platform/settings.py
+++ b/src/lentilfork/platform/settings.py
@@ -3,14 +3,17 @@
 import tomllib
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Annotated
 from typing import Final
 
 import msgspec
+from msgspec import Meta
 from msgspec import Struct
 from result import Err
 from result import Ok
 from result import Result
 
+from lentilfork.addresses import MAXIMUM_PORT
 from lentilfork.addresses import check_socket_address
 from lentilfork.addresses import split_address
 from lentilfork.errors import ExitCode
@@ -41,6 +44,8 @@
 # Controllers that deploy/system.toml starts in each data centre.
 CONTROLLERS_PER_ZONE: Final = 2
 
+Port = Annotated[int, Meta(ge=1, le=MAXIMUM_PORT)]
+
 
 class Listen(Struct, frozen=True):
     """Addresses that the role listens at, each "ip:port"."""
@@ -82,7 +87,7 @@
     # Name of the data centre.
     zone: str
     # First and last port of the range for traffic between processes.
-    internal_ports: tuple[int, int]
+    internal_ports: tuple[Port, Port]
     # "ip:port" of HTTP control on some machines that run controllers.
     seeds: tuple[str, ...] = ()
     # Whether the whole system starts for the first time.
@@ -122,6 +127,11 @@
         return fail(f"{error}; expected TOML")
     except msgspec.ValidationError as error:
         return fail(f"{error}")
+    except ValueError as error:
+        # An integer with more digits than `int` converts.
+        return fail(f"{error}; expected TOML")
+    except RecursionError:
+        return fail("nested too deeply")
     for key, address in list_addresses(settings):
         try:
             check_socket_address(address)
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from lentilfork import files
+from lentilfork import tasks
 from lentilfork.errors import ExitCode
 from lentilfork.platform import main
 
@@ -51,3 +53,42 @@
         gc.unfreeze()
     assert code is ExitCode.OK
     assert states == [False, True]
+
+
+# Guards against a process that no longer follows its settings file, because one
+# version of it could not be applied.
+async def test_settings_are_followed_after_a_version_that_raised(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    path = tmp_path / "boot.toml"
+    path.write_text("1")
+    applied = []
+
+    async def start(_settings: Any) -> Any:
+        return FakeRole()
+
+    def reload(path: Path, _role: Any) -> None:
+        applied.append(path.read_text())
+        if len(applied) == 1:
+            raise ValueError("odd")
+
+    async def edit() -> None:
+        for text in ("2", "3"):
+            path.write_text(text)
+            await asyncio.sleep(0.1)
+        os.kill(os.getpid(), signal.SIGTERM)
+
+    monkeypatch.setitem(main.START_FUNCTIONS, "balancer", start)
+    monkeypatch.setattr(main, "reload_settings", reload)
+    monkeypatch.setattr(files, "CHECK_INTERVAL_S", 0.01)
+    monkeypatch.setattr(tasks, "RESTART_DELAY_S", 0.01)
+    settings: Any = FakeSettings()
+    edits = asyncio.get_running_loop().call_later(
+        0.05, lambda: tasks.start_task(edit(), "edit")
+    )
+    try:
+        await main.run("balancer", path, settings, None)
+    finally:
+        edits.cancel()
+        gc.unfreeze()
+    assert applied == ["2", "3"]
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -106,6 +106,34 @@
     assert expected in loaded.err_value.message
 
 
+# Guards against a process that stops following its settings file after an odd edit.
+@pytest.mark.parametrize(
+    ("before", "after", "expected"),
+    [
+        ("heartbeat_ms = 800", f"odd = {'[' * 9_999}{']' * 9_999}", "nested"),
+        ("heartbeat_ms = 800", f"odd = {'{a=' * 9_999}1{'}' * 9_999}", "nested"),
+        ("heartbeat_ms = 800", f"heartbeat_ms = {'9' * 5_000}", "digits"),
+        ("heartbeat_ms = 800", f"heartbeat_ms = {'9' * 400}", "heartbeat_ms"),
+        ("[7000, 7015]", "[99999, 99999]", "internal_ports"),
+        ("[7000, 7015]", "[65536, 7015]", "internal_ports"),
+        ("[7000, 7015]", "[0, 7015]", "internal_ports"),
+        ("[7000, 7015]", "[-1, 7015]", "internal_ports"),
+        ("[7000, 7015]", f"[{10**30}, 7015]", "internal_ports"),
+        ("10.0.1.1:9000", "10.0.1.1:99999", "seeds"),
+        ("10.0.1.1:9000", f"10.0.1.1:{'9' * 5_000}", "seeds"),
+        ("10.0.1.1:9000", "999.0.1.1:9000", "seeds"),
+    ],
+)
+def test_odd_settings_are_refused_and_do_not_raise(
+    tmp_path: Path, before: str, after: str, expected: str
+) -> None:
+    text = SETTINGS_TEXT.replace(before, after)
+    assert text != SETTINGS_TEXT
+    loaded = load_settings(write(tmp_path, text))
+    assert isinstance(loaded, Err)
+    assert expected in loaded.err_value.message
+
+
 def test_check_reports_whether_settings_are_valid(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
