channels: let controllers receive the largest configuration

What callers saw: nothing yet. After a configuration of more than 4 MiB that hardly compresses, no later configuration was acknowledged.

Cause: the leader put the configuration into its log, but its entry was larger than a gRPC message may be by default, so that no follower could receive it. The leader sent it again and again, and the entries after it never left.

--- a/src/lentilfork/channels.py
+++ b/src/lentilfork/channels.py
@@ -49,8 +49,12 @@
 ABANDONED_CHANNEL_S: Final = 25.0
 MAXIMUM_PEERS: Final = 16_384
 HANDLER_KINDS: Final = ("unary_unary", "unary_stream", "stream_unary", "stream_stream")
+# Larger than any entry of the log: a configuration with its routes, each of them no
+# longer than the largest body that a controller reads.
+MAXIMUM_MESSAGE_BYTES: Final = 32 * 1024 * 1024
 
 CHANNEL_OPTIONS: Final = (
+    ("grpc.max_receive_message_length", MAXIMUM_MESSAGE_BYTES),
     ("grpc.keepalive_time_ms", KEEPALIVE_TIME_MS),
     ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
     ("grpc.initial_reconnect_backoff_ms", 100),
@@ -59,6 +63,7 @@
     ("grpc.use_local_subchannel_pool", 1),
 )
 SERVER_OPTIONS: Final = (
+    ("grpc.max_receive_message_length", MAXIMUM_MESSAGE_BYTES),
     ("grpc.so_reuseport", 0),
     ("grpc.http2.min_recv_ping_interval_without_data_ms", KEEPALIVE_TIME_MS // 2),
     ("grpc.http2.max_ping_strikes", 0),
--- a/tests/forwarding/test_controllers.py
+++ b/tests/forwarding/test_controllers.py
@@ -1,6 +1,7 @@
 """Route tables on three controllers with real disks and gRPC."""
 
 import asyncio
+import random
 import shutil
 import socket
 import zlib
@@ -16,6 +17,7 @@
 from lentilfork.forwarding.membership import TABLE_PORT_OFFSET
 from lentilfork.forwarding.membership import read_table
 from lentilfork.forwarding.settings import FlowControllerSettings
+from lentilfork.http_server import MAXIMUM_BODY_BYTES
 from lentilfork.schema import state_pb2
 
 HOSTS = ("127.7.1.1", "127.7.1.2", "127.7.1.3")
@@ -61,7 +63,11 @@
 
     async def put(self, host: str, version: int) -> bool:
         """Put a table at a controller; return whether it was acknowledged."""
-        table = state_pb2.RouteTable(version=version, source=b"text")
+        return await self.put_source(host, version, b"text")
+
+    async def put_source(self, host: str, version: int, source: bytes) -> bool:
+        """Put a table with a document; return whether it was acknowledged."""
+        table = state_pb2.RouteTable(version=version, source=source)
         return await self.roles[host].put_table(table) == Ok(None)
 
     async def read(self, host: str) -> int | None:
@@ -112,6 +118,22 @@
     assert (table.version, table.source) == (1, b"")
 
 
+# Guards against a log that no follower can receive, because one configuration is
+# larger than a message may be: no later one would be acknowledged either.
+async def test_largest_configuration_does_not_block_later_ones(
+    controllers: Controllers,
+) -> None:
+    document = random.Random(1).randbytes(MAXIMUM_BODY_BYTES)
+
+    async def is_stored() -> bool:
+        stored = [await controllers.put_source(host, 2, document) for host in HOSTS]
+        return all(stored)
+
+    await wait_until(is_stored)
+    await wait_until(lambda: controllers.put(HOSTS[0], 3))
+    assert await controllers.read(HOSTS[0]) == 3
+
+
 async def test_single_controller_neither_acknowledges_nor_answers(
     controllers: Controllers,
 ) -> None:
