forwarding: survive a port that no socket accepts

What callers saw: nothing known. Sending a datagram to a port beyond 65,535 raised an error that senders don't expect, and so did the fetch of a table from such a port.

Cause: `sendto` and `connect` raise OverflowError for such a port, which is no OSError. From reading the code, not from a run: the task of the announcements fails at such an address, is started again every 0.2 s and doesn't reach the controllers after it.

Evidence: on the code before, test_datagram_to_a_port_out_of_range_is_counted fails for 65,536, 99,999, -1 and 10**30 (0 passed), and test_table_at_a_port_out_of_range_counts_as_not_fetched fails.

Change: both count as any other failure to send or to fetch.

--- a/src/lentilfork/forwarding/membership.py
+++ b/src/lentilfork/forwarding/membership.py
@@ -59,6 +59,16 @@
 # Offset of the table server's port from the port that members announce to.
 TABLE_PORT_OFFSET: Final = 3
 MAXIMUM_TABLE_BYTES: Final = 16 * 1024 * 1024
+# What a fetch raises if the table cannot be received or read. OverflowError: the port
+# of the table server is out of range.
+TABLE_ERRORS: Final = (
+    OSError,
+    EOFError,
+    TimeoutError,
+    OverflowError,
+    DecodeError,
+    zlib.error,
+)
 
 log = Logger("membership")
 
@@ -363,7 +373,7 @@
             async with asyncio.timeout(FETCH_TIMEOUT_S):
                 data = await read_table(host, port + TABLE_PORT_OFFSET)
             table = state_pb2.RouteTable.FromString(zlib.decompress(data))
-        except (OSError, EOFError, TimeoutError, DecodeError, zlib.error) as error:
+        except TABLE_ERRORS as error:
             self.membership.counters.add("table_fetches_failed")
             log.warning("route table not fetched", controller=host, error=repr(error))
             return
--- a/src/lentilfork/forwarding/sockets.py
+++ b/src/lentilfork/forwarding/sockets.py
@@ -206,7 +206,8 @@
             self.socket.sendto(data, address)
         except (BlockingIOError, InterruptedError):
             self.counters.add("datagrams_failed", "full")
-        except OSError:
+        except (OSError, OverflowError):
+            # `sendto` raises OverflowError for a port out of range.
             self.counters.add("datagrams_failed", "send")
 
     def close(self) -> None:
--- a/tests/forwarding/test_malformed.py
+++ b/tests/forwarding/test_malformed.py
@@ -11,6 +11,7 @@
 from hypothesis import settings
 from hypothesis import strategies
 
+from lentilfork.addresses import MAXIMUM_PORT
 from lentilfork.forwarding.controller import FlowControllerRole
 from lentilfork.forwarding.envelopes import Envelope
 from lentilfork.forwarding.envelopes import Kind
@@ -202,3 +203,11 @@
     assert not role.roster.agents
     assert role.counters.get("updates_dropped", "malformed") > 0
     role.membership.announce(time.monotonic(), immediate=True)
+
+
+# Guards against a fetch that ends with an unexpected error and is started again.
+async def test_table_at_a_port_out_of_range_counts_as_not_fetched() -> None:
+    role = make_member("balancer")
+    await role.fetcher.fetch(("127.0.0.1", MAXIMUM_PORT))
+    assert role.counters.get("table_fetches_failed") == 1
+    assert role.membership.routes.version == 0
--- a/tests/forwarding/test_sockets.py
+++ b/tests/forwarding/test_sockets.py
@@ -3,6 +3,8 @@
 import asyncio
 import socket
 
+import pytest
+
 from lentilfork.clocks import read_clock_ms
 from lentilfork.counters import Counters
 from lentilfork.forwarding.sockets import PAUSE_THRESHOLD_MS
@@ -54,6 +56,19 @@
     assert (received, dropped) == ([b"waited", b"fresh"], 0)
 
 
+# Guards against a task that ends because an address in a message has a port that no
+# socket accepts.
+@pytest.mark.parametrize("port", [0, 65_536, 99_999, -1, 10**30])
+async def test_datagram_to_a_port_out_of_range_is_counted(port: int) -> None:
+    counters = Counters()
+    sender = DatagramSocket(
+        (LOOPBACK, 0), lambda _data, _sender: None, counters, PauseDetector()
+    )
+    sender.send(b"data", (LOOPBACK, port))
+    sender.close()
+    assert counters.get("datagrams_failed", "send") == 1
+
+
 class CountingSocket(DatagramSocket):
     """Counts the attempts to read a datagram, and the wake-ups."""
 
