platform: refuse bodies with bytes that aren't UTF-8

What callers saw: a configuration with invalid UTF-8 in a field that isn't used here was acknowledged and returned as it was, though it can't be read in full; a heartbeat like that refreshed its endpoint.

Cause: msgspec skips the fields that the model doesn't have without checking their encoding.

Evidence: test_bodies_with_invalid_utf8_in_ignored_fields_are_refused fails in all 4 cases on the code before.

Change: a body is decoded as UTF-8 before it is parsed. Text of other languages in such fields is read as before (same test).

--- a/src/lentilfork/platform/bodies.py
+++ b/src/lentilfork/platform/bodies.py
@@ -128,7 +128,10 @@
 def decode(body: bytes, model: type[Body]) -> Body:
     """Return the model in a JSON body; msgspec.DecodeError if it does not match."""
     try:
-        return msgspec.json.decode(body, type=model)
+        # msgspec does not check the encoding of fields that the model ignores.
+        return msgspec.json.decode(body.decode(), type=model)
+    except UnicodeDecodeError:
+        raise msgspec.DecodeError("invalid UTF-8") from None
     except RecursionError:
         raise msgspec.DecodeError("nested too deeply") from None
 
--- a/tests/platform/test_bodies.py
+++ b/tests/platform/test_bodies.py
@@ -104,6 +104,18 @@
     read_leave(body)
 
 
+# Guards against a document that is acknowledged though no reader of it can decode it.
+@pytest.mark.parametrize("text", [b"\xff\xfe", b"\xed\xa0\x80", b"\xc3", b"\xc0\xaf"])
+def test_bodies_with_invalid_utf8_in_ignored_fields_are_refused(text: bytes) -> None:
+    configuration = encode(make_configuration(extra="odd"))
+    heartbeat = encode(make_heartbeat(extra="odd"))
+    assert isinstance(read_configuration(configuration.replace(b"odd", text)), Err)
+    assert isinstance(read_heartbeat("i-1", heartbeat.replace(b"odd", text)), Err)
+    valid = "ö\N{BALLOT BOX}".encode()
+    assert isinstance(read_configuration(configuration.replace(b"odd", valid)), Ok)
+    assert isinstance(read_heartbeat("i-1", heartbeat.replace(b"odd", valid)), Ok)
+
+
 def make_heartbeat(**changes: Any) -> dict[str, Any]:
     heartbeat = {
         "service": "chairs",
