--- a/src/lentilfork/platform/bodies.py
+++ b/src/lentilfork/platform/bodies.py
@@ -5,7 +5,6 @@
 from typing import Annotated
 from typing import Final
 from typing import Literal
-from typing import TypeVar
 
 import msgspec
 from msgspec import Meta
@@ -14,6 +13,7 @@
 from result import Ok
 from result import Result
 
+from lentilfork.documents import decode_json
 from lentilfork.errors import Failure
 from lentilfork.forwarding.backend_server import ServerAnnouncement
 from lentilfork.forwarding.backend_server import ServerState
@@ -29,8 +29,6 @@
 PositiveMilliseconds = Annotated[int, Meta(ge=1, le=MAXIMUM_UINT32)]
 Count = Annotated[int, Meta(ge=0, le=MAXIMUM_INT32)]
 
-Body = TypeVar("Body")
-
 
 class Heartbeat(Struct, frozen=True):
     """The periodic report of an endpoint; unknown fields are ignored."""
@@ -125,22 +123,11 @@
     return Err(Failure(step, "-", message))
 
 
-def decode(body: bytes, model: type[Body]) -> Body:
-    """Return the model in a JSON body; msgspec.DecodeError if it does not match."""
-    try:
-        # msgspec does not check the encoding of fields that the model ignores.
-        return msgspec.json.decode(body.decode(), type=model)
-    except UnicodeDecodeError:
-        raise msgspec.DecodeError("invalid UTF-8") from None
-    except RecursionError:
-        raise msgspec.DecodeError("nested too deeply") from None
-
-
 def read_configuration(body: bytes) -> Result[state_pb2.RouteTable, Failure]:
     """Return the route table of a configuration, with the compressed body in it."""
     step = "read configuration"
     try:
-        document = decode(body, Configuration)
+        document = decode_json(body, Configuration)
     except msgspec.DecodeError as error:
         return make_failure(step, str(error))
     problem = find_problem(document)
@@ -196,7 +183,7 @@
 def read_heartbeat(server_id: str, body: bytes) -> Result[ServerAnnouncement, Failure]:
     """Return the announcement in a heartbeat."""
     try:
-        heartbeat = decode(body, Heartbeat)
+        heartbeat = decode_json(body, Heartbeat)
     except msgspec.DecodeError as error:
         return make_failure("read heartbeat", str(error))
     return Ok(
@@ -217,7 +204,7 @@
     if not body:
         return None
     try:
-        return decode(body, Leave).born
+        return decode_json(body, Leave).born
     except msgspec.DecodeError:
         # The path alone identifies the endpoint if the body is malformed.
         return None
