platform: refuse a route whose port is out of range

What callers saw: a configuration with the path_prefix "/99999/" was acknowledged, and its route took effect, though no packet can name its port.

Cause: any number of up to five digits counted as a port.

Why it is invalid: a path_prefix is a port between slashes, and a port has 16 bits in every packet. A number above 65,535 isn't one, so the configuration can't be read in full. 0 fits and is accepted as before.

Evidence: test_route_with_a_port_out_of_range_is_refused fails for 65,536, 70,000 and 99,999 on the code before; the other three cases (a sign, six and 5,000 digits) passed. All 7 cases of test_route_with_any_port_of_a_packet_is_accepted pass before and after.

What remains: a configuration like that, acknowledged by an earlier release, is refused if it is sent again after the upgrade.

--- a/src/lentilfork/platform/bodies.py
+++ b/src/lentilfork/platform/bodies.py
@@ -13,6 +13,7 @@
 from result import Ok
 from result import Result
 
+from lentilfork.addresses import MAXIMUM_PORT
 from lentilfork.documents import decode_json
 from lentilfork.errors import Failure
 from lentilfork.forwarding.backend_server import ServerAnnouncement
@@ -85,8 +86,11 @@
 
     @property
     def port(self) -> int:
-        """The port that packets are sent to."""
-        return int(self.path_prefix.strip("/"))
+        """The port that packets are sent to; ValueError if it is out of range."""
+        port = int(self.path_prefix.strip("/"))
+        if port > MAXIMUM_PORT:
+            raise ValueError(f"port {port} is larger than {MAXIMUM_PORT}")
+        return port
 
     def list_targets(self) -> list[WireTarget]:
         """Return the services of the route whose weight is above zero."""
--- a/tests/platform/test_bodies.py
+++ b/tests/platform/test_bodies.py
@@ -91,6 +91,23 @@
     assert isinstance(read_configuration(encode(document)), Err)
 
 
+# Guards against a route that no packet can name, which was acknowledged.
+@pytest.mark.parametrize(
+    "port", ["65536", "70000", "99999", "-1", "123456", "9" * 5000]
+)
+def test_route_with_a_port_out_of_range_is_refused(port: str) -> None:
+    routes = [make_route(path_prefix="/80/"), make_route(path_prefix=f"/{port}/")]
+    document = make_configuration(routes=routes)
+    assert isinstance(read_configuration(encode(document)), Err)
+
+
+@pytest.mark.parametrize("port", [0, 1, 80, 9_999, 10_000, 65_534, 65_535])
+def test_route_with_any_port_of_a_packet_is_accepted(port: int) -> None:
+    routes = [make_route(path_prefix=f"/{port}/")]
+    table = read_configuration(encode(make_configuration(routes=routes))).unwrap()
+    assert table.routes[0].port == port
+
+
 @given(st.integers(0, 200))
 def test_truncated_configurations_are_refused(length: int) -> None:
     body = encode(make_configuration())
