platform: refuse a heartbeat born after any date

What callers saw: nothing known. A heartbeat with a `born` of 2**63 - 1 counted as a new incarnation: the flows of the endpoint were reset, its own heartbeats were ignored from then on as older ones, and it got no new flows once it had been silent for 3.5 intervals.

Cause: any number of 63 bits was taken as the start of an incarnation.

Change: `born` is at most the last millisecond of the year 9999.

What remains: a later start that is a possible date can't be told from a true one, nor can a `sequence` that is too large.

--- a/src/lentilfork/platform/bodies.py
+++ b/src/lentilfork/platform/bodies.py
@@ -25,6 +25,8 @@
 MAXIMUM_UINT32: Final = (1 << 32) - 1
 MAXIMUM_INT32: Final = (1 << 31) - 1
 MAXIMUM_INT64: Final = (1 << 63) - 1
+# End of the year 9999, the last one of a date with four digits.
+MAXIMUM_UNIX_MS: Final = 253_402_300_799_999
 
 Milliseconds = Annotated[int, Meta(ge=0, le=MAXIMUM_UINT32)]
 PositiveMilliseconds = Annotated[int, Meta(ge=1, le=MAXIMUM_UINT32)]
@@ -47,7 +49,7 @@
     # Increases with each call of one incarnation.
     sequence: Annotated[int, Meta(ge=0, le=MAXIMUM_INT64)]
     # Start of the incarnation in Unix milliseconds.
-    born: Annotated[int, Meta(ge=0, le=MAXIMUM_INT64)] = 0
+    born: Annotated[int, Meta(ge=0, le=MAXIMUM_UNIX_MS)] = 0
 
 
 class Leave(Struct, frozen=True):
