platform: refuse a heartbeat whose address can't be used

What callers saw: nothing known. A heartbeat with an address such as "10.0.0.1:99999" or "999.1.1.1:80" was acknowledged and counted as one of the endpoint, though such a heartbeat names no endpoint to use.

Cause: the address was read as any text, since an agent sends to `app` of its settings instead.

Evidence: test_heartbeat_with_an_unusable_address_is_refused fails in all 10 cases on the code before.

Change: the address has to be an IPv4 address and a port, as in the settings.

--- a/src/lentilfork/platform/bodies.py
+++ b/src/lentilfork/platform/bodies.py
@@ -14,6 +14,7 @@
 from result import Result
 
 from lentilfork.addresses import MAXIMUM_PORT
+from lentilfork.addresses import check_socket_address
 from lentilfork.documents import decode_json
 from lentilfork.errors import Failure
 from lentilfork.forwarding.backend_server import ServerAnnouncement
@@ -190,7 +191,9 @@
     """Return the announcement in a heartbeat."""
     try:
         heartbeat = decode_json(body, Heartbeat)
-    except msgspec.DecodeError as error:
+        check_socket_address(heartbeat.address)
+    except ValueError as error:
+        # Also msgspec.DecodeError, which is one.
         return make_failure("read heartbeat", str(error))
     return Ok(
         ServerAnnouncement(
--- a/tests/platform/test_bodies.py
+++ b/tests/platform/test_bodies.py
@@ -171,6 +171,27 @@
     assert isinstance(read_heartbeat("i-1", encode(make_heartbeat(**changes))), Err)
 
 
+# Guards against an endpoint that counts as ready at an address that nothing can use.
+@pytest.mark.parametrize(
+    "address",
+    [
+        "10.0.0.1:99999",
+        "10.0.0.1:65536",
+        "10.0.0.1:0",
+        "10.0.0.1:-1",
+        f"10.0.0.1:{10**30}",
+        f"10.0.0.1:{'9' * 5_000}",
+        "10.0.0.1:٣",
+        "999.1.1.1:80",
+        "10.0.0.1",
+        "",
+    ],
+)
+def test_heartbeat_with_an_unusable_address_is_refused(address: str) -> None:
+    heartbeat = make_heartbeat(address=address)
+    assert isinstance(read_heartbeat("i-1", encode(heartbeat)), Err)
+
+
 def test_heartbeat_with_a_field_missing_is_refused() -> None:
     heartbeat = make_heartbeat()
     del heartbeat["cold_left_ms"]
