forwarding: drop records that fit into no roster update

What callers saw: nothing known. Once three agents had announced names of 30,000 characters, no member got the records after them, nor any later change.

Cause: a controller accepted any record that arrived in one datagram, and put up to nine of them into one update. An update of more than 65,507 bytes can't be sent; the member announced the older revision again and was sent the same.

Evidence: test_records_that_fit_into_no_update_do_not_hide_the_others fails for the name, the service and the data centre with the check switched off.

Change: a record with a name of more than 255 characters is dropped and counted as malformed. A whole page of the longest names fits into one datagram (test_update_of_records_with_the_longest_names_fits_into_a_datagram).

--- a/src/lentilfork/forwarding/roster.py
+++ b/src/lentilfork/forwarding/roster.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from functools import lru_cache
+from typing import Final
 
 import xxhash
 
@@ -23,6 +24,8 @@
 
 SocketName = tuple[str, int]
 CACHED_SCORES = 1 << 18
+# Longer than any name of a host, so that a page of records fits into one datagram.
+MAXIMUM_NAME_LENGTH: Final = 255
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,7 +65,10 @@
 
 
 def decode_agent(message: roster_pb2.FlowAgent) -> AgentRecord:
-    """Return the record of a message; raises ValueError for a bad address."""
+    """Return the record of a message; raises ValueError for a bad address or name."""
+    names = (message.name, message.service, message.data_centre)
+    if max(map(len, names)) > MAXIMUM_NAME_LENGTH:
+        raise ValueError(f"a name has more than {MAXIMUM_NAME_LENGTH} characters")
     return AgentRecord(
         message.name,
         message.incarnation,
--- a/tests/forwarding/test_roster.py
+++ b/tests/forwarding/test_roster.py
@@ -9,6 +9,7 @@
 from lentilfork.forwarding.membership import CONTROLLER_TIMEOUT_S
 from lentilfork.forwarding.membership import Membership
 from lentilfork.forwarding.packets import hash_name
+from lentilfork.forwarding.roster import MAXIMUM_NAME_LENGTH
 from lentilfork.forwarding.roster import AgentRecord
 from lentilfork.forwarding.roster import Roster
 from lentilfork.forwarding.roster import encode_agent
@@ -21,6 +22,8 @@
 from lentilfork.schema import roster_pb2
 from lentilfork.schema import state_pb2
 
+# Most bytes of data in an IPv4 datagram.
+MAXIMUM_DATAGRAM_BYTES = 65_507
 MEMBER = ("10.0.0.9", 7001)
 
 
@@ -378,3 +381,38 @@
         owner = before.rank_owners(service, ingress, key)[0]
         if owner.name != "agent-07":
             assert after.rank_owners(service, ingress, key)[0].name == owner.name
+
+
+# Guards against members that no longer follow the roster: an update with some records
+# fits into no datagram, is never received and is sent again for every announcement.
+@pytest.mark.parametrize("key", ["name", "service", "data_centre"])
+def test_records_that_fit_into_no_update_do_not_hide_the_others(key: str) -> None:
+    network = FakeNetwork()
+    send = network.servers[0].send
+
+    def send_datagram(data: bytes, address: tuple[str, int]) -> None:
+        if len(data) <= MAXIMUM_DATAGRAM_BYTES:
+            send(data, address)
+
+    network.servers[0].send = send_datagram
+    for number in range(3):
+        odd = make_agent(number, **{key: f"{number}" * 30_000})
+        network.servers[0].apply_agent(encode_agent(odd), network.now)
+    network.servers[0].apply_agent(encode_agent(make_agent(9)), network.now)
+    for _ in range(3):
+        network.now += 0.2
+        network.member.announce(network.now)
+    assert network.member.records == {"agent-09": make_agent(9)}
+
+
+def test_update_of_records_with_the_longest_names_fits_into_a_datagram() -> None:
+    network = FakeNetwork()
+    server = network.servers[0]
+    long = "\N{BALLOT BOX}" * MAXIMUM_NAME_LENGTH
+    for number in range(2 * AGENTS_PER_UPDATE):
+        name = f"{number:02}{long[2:]}"
+        record = make_agent(number, name=name, service=long, data_centre=long)
+        server.apply_agent(encode_agent(record), network.now)
+    updates = server.encode_changes(0, network.now)
+    assert len(server.entries) == 2 * AGENTS_PER_UPDATE
+    assert max(map(len, updates)) <= MAXIMUM_DATAGRAM_BYTES
