--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -6,6 +6,7 @@
 
 from lentilfork.counters import Counters
 from lentilfork.exposition import answer_scrape
+from lentilfork.http_server import MAXIMUM_BODY_BYTES
 from lentilfork.http_server import Request
 from lentilfork.http_server import Response
 from lentilfork.http_server import serve_http
@@ -63,6 +64,49 @@
     assert (await send_and_receive(data)).startswith(status)
 
 
+# Guards against a server that stops answering after a request that cannot be read.
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"PUT /\xff\xfe HTTP/1.1\r\nHost: a\r\n\r\n", b"400"),
+        (b"P\xffT /x HTTP/1.1\r\nHost: a\r\n\r\n", b"400"),
+        (b"PUT /x HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n", b"400"),
+        (
+            b"PUT /x HTTP/1.1\r\nHost: a\r\nContent-Length: %s\r\n\r\n"
+            % (b"9" * 5_000),
+            b"400",
+        ),
+        (
+            b"PUT /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n%s\r\n"
+            % (b"f" * 5_000),
+            b"400",
+        ),
+        (b"PUT /%s HTTP/1.1\r\nHost: a\r\n\r\n" % (b"a" * 100_000), b"431"),
+        (
+            b"PUT /x HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s"
+            % (MAXIMUM_BODY_BYTES + 1, b"a" * (MAXIMUM_BODY_BYTES + 1)),
+            b"413",
+        ),
+    ],
+    ids=["path", "method", "negative", "length", "chunk", "long path", "body"],
+)
+async def test_server_answers_after_a_request_that_cannot_be_read(
+    data: bytes, status: bytes
+) -> None:
+    server = await serve_http((LOOPBACK, 0), echo)
+    address = server.sockets[0].getsockname()
+    for request, expected in (
+        (data, status),
+        (b"GET /y HTTP/1.1\r\nHost: a\r\n\r\n", b"200"),
+    ):
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(request)
+        async with asyncio.timeout(5):
+            assert (await reader.readline()).startswith(b"HTTP/1.1 " + expected)
+        writer.close()
+    server.close()
+
+
 async def test_scrape_has_counters_and_histograms() -> None:
     counters = Counters()
     counters.add("flows_refused", "late", 3)
