--- a/src/lentilfork/agreement/log.py
+++ b/src/lentilfork/agreement/log.py
@@ -175,8 +175,13 @@
         self.storage.check_writable()
 
     async def compact(self, snapshot: agreement_pb2.StoredSnapshot) -> None:
-        """Store a snapshot and drop old entries, except the trailing ones."""
+        """Store a snapshot and drop old entries, except the trailing ones.
+
+        Does nothing if a newer snapshot was installed in the meantime.
+        """
         async with self.write_lock:
+            if self.snapshot and self.snapshot.last_index > snapshot.last_index:
+                return
             base = self.find_trailing_base(snapshot.last_index)
             term = self.get_term(base)
             if term is None:
--- a/tests/agreement/test_storage.py
+++ b/tests/agreement/test_storage.py
@@ -1,5 +1,6 @@
 """Recovery of the data folder from torn, damaged, missing and copied files."""
 
+import asyncio
 import errno
 import os
 import shutil
@@ -169,3 +170,19 @@
     storage, stored = await open_folder(tmp_path)
     assert (stored.base_index, stored.base_term, stored.entries) == (2, 7, [])
     storage.close()
+
+
+# Guards against a log that begins after the end of its snapshot: a compaction waited
+# while the leader's newer snapshot was installed, and then replaced it.
+async def test_compaction_does_not_replace_a_newer_snapshot(tmp_path: Path) -> None:
+    await fill_folder(tmp_path)
+    storage, stored = await open_folder(tmp_path)
+    log = Log(storage, stored)
+    newer = agreement_pb2.StoredSnapshot(last_index=9, last_term=2, data=b"newer")
+    older = agreement_pb2.StoredSnapshot(last_index=3, last_term=1, data=b"older")
+    await asyncio.gather(log.install_snapshot(newer), log.compact(older))
+    assert (log.snapshot, log.base_index, log.synced_index) == (newer, 9, 9)
+    storage.close()
+    storage, stored = await open_folder(tmp_path)
+    assert (stored.snapshot, stored.base_index) == (newer, 9)
+    storage.close()
