agreement: sync what a start reads before counting on it

What callers saw: nothing known. A controller that was killed between a write and its sync read the entry or the vote at its next start and acknowledged it at once. A power loss then took it, though it counted as stored: the entry may have been committed with this acknowledgement, and the vote could be given again to another candidate.

Cause: `Storage.open` read the files from the system's cache and `Log` counted all of their entries as synced, without a sync of its own.

Evidence: the fake disk now loses what a killed process wrote unless a later process syncs it.

Change: a start syncs the files that it finds, and their folder, before it reads them. If that fails, the process starts, but nothing counts as synced and no vote is given until all files are rewritten, as after any failed write.

What remains: the folder that contains the data folder isn't synced; a data folder that is lost with it is an empty one, which needs a new admission.

--- a/src/lentilfork/agreement/files.py
+++ b/src/lentilfork/agreement/files.py
@@ -9,6 +9,7 @@
 import fcntl
 import os
 from collections.abc import Callable
+from collections.abc import Sequence
 from concurrent.futures import ThreadPoolExecutor
 from functools import partial
 from pathlib import Path
@@ -55,6 +56,9 @@
     def remove(self, name: str) -> None:
         """Remove a file."""
 
+    async def sync(self, names: Sequence[str]) -> None:
+        """Sync files that an earlier process wrote, and their folder."""
+
     async def append(self, name: str, data: bytes) -> None:
         """Append to a file and sync it."""
 
@@ -140,6 +144,10 @@
         self.close_file(name)
         (self.folder / name).unlink(missing_ok=True)
 
+    async def sync(self, names: Sequence[str]) -> None:
+        """Sync files that an earlier process wrote, and their folder."""
+        await self.run_in_writer(partial(self.sync_blocking, names))
+
     async def append(self, name: str, data: bytes) -> None:
         """Append to a file and sync it."""
         await self.run_in_writer(partial(self.append_blocking, name, data))
@@ -152,6 +160,16 @@
         """Run a call in the writer thread."""
         return await asyncio.get_running_loop().run_in_executor(self.writer, call)
 
+    def sync_blocking(self, names: Sequence[str]) -> None:
+        """Sync files and the folder in the calling thread."""
+        for name in names:
+            descriptor = os.open(self.folder / name, os.O_RDONLY | os.O_CLOEXEC)
+            try:
+                os.fsync(descriptor)
+            finally:
+                os.close(descriptor)
+        sync_folder(self.folder)
+
     def append_blocking(self, name: str, data: bytes) -> None:
         """Append and sync in the calling thread."""
         if name not in self.append_descriptors:
@@ -213,6 +231,9 @@
         """Remove a file."""
         self.content.pop(name, None)
 
+    async def sync(self, names: Sequence[str]) -> None:
+        """Do nothing: the files end with the process."""
+
     async def append(self, name: str, data: bytes) -> None:
         """Append to a file."""
         self.content.setdefault(name, bytearray()).extend(data)
--- a/src/lentilfork/agreement/log.py
+++ b/src/lentilfork/agreement/log.py
@@ -58,7 +58,8 @@
         self.entries = stored.entries
         self.snapshot = stored.snapshot
         self.pending = []
-        self.synced_index = self.last_index
+        # Without a sync of the files that were read, a power loss may still take them.
+        self.synced_index = 0 if storage.failure else self.last_index
         snapshot_index = stored.snapshot.last_index if stored.snapshot else 0
         self.commit_index = min(
             max(stored.commit_index, snapshot_index), self.last_index
--- a/src/lentilfork/agreement/storage.py
+++ b/src/lentilfork/agreement/storage.py
@@ -126,6 +126,9 @@
         for name in names:
             if name.endswith(TEMPORARY_SUFFIX):
                 self.files.remove(name)
+        await self.sync_found(
+            [name for name in names if not name.endswith(TEMPORARY_SUFFIX)]
+        )
         if VOTE in names:
             self.vote = self.read_message(VOTE, agreement_pb2.StoredVote())
         stored = StoredLog()
@@ -150,6 +153,18 @@
             return Err(Failure("read records", self.get_path(logs[-1]), problem))
         return Ok(stored)
 
+    async def sync_found(self, names: Sequence[str]) -> None:
+        """Sync the files of an earlier process, which may have ended before its sync.
+
+        A failure is recorded: the files are then read, but count as unsynced until
+        they are rewritten.
+        """
+        try:
+            await self.files.sync(names)
+        except OSError as error:
+            message = error.strerror or str(error)
+            self.failure = Failure("sync", self.files.location, message)
+
     def get_path(self, name: str) -> str:
         """Return the path of a file for error messages."""
         return f"{self.files.location}/{name}"
--- a/tests/agreement/fakes.py
+++ b/tests/agreement/fakes.py
@@ -10,6 +10,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Sequence
 from random import Random
 from typing import Any
 from typing import NoReturn
@@ -68,6 +69,27 @@
         # Share of the calls that fail while `error` is set.
         self.failure_rate = 1.0
         self.sync_s = 0.002
+        # What a power loss leaves of each file that is not synced; None: nothing.
+        self.synced: dict[str, tuple[bytes, FileFingerprint] | None] = {}
+
+    def keep_unsynced(self, name: str) -> None:
+        """Keep what a power loss leaves of a file that is about to be changed."""
+        if name not in self.synced:
+            former = self.content.get(name)
+            self.synced[name] = (
+                None
+                if former is None
+                else (former, self.fingerprints.get(name, (0, 0)))
+            )
+
+    def lose_power(self) -> None:
+        """Lose all that was written but not synced."""
+        for name, former in self.synced.items():
+            if former is None:
+                self.content.pop(name, None)
+            else:
+                self.content[name], self.fingerprints[name] = former
+        self.synced.clear()
 
     def put(self, name: str, data: bytes) -> None:
         """Replace a file by a new one."""
@@ -88,6 +110,7 @@
     def restore(self, content: dict[str, bytes]) -> None:
         """Replace all files by those of a backup."""
         self.content.clear()
+        self.synced.clear()
         for name, data in content.items():
             self.put(name, data)
 
@@ -112,12 +135,13 @@
         """Drop unsynced data.
 
         A pending append is kept up to a random length; a pending replacement takes
-        effect in half of the cases.
+        effect in half of the cases. What is kept is not synced.
         """
         self.closed = True
         if self.pending_write is None:
             return
         name, data, replacing = self.pending_write
+        self.disk.keep_unsynced(name)
         if not replacing:
             kept = self.disk.rng.randint(0, len(data))
             self.disk.content[name] = self.disk.content.get(name, b"") + data[:kept]
@@ -137,8 +161,9 @@
         return self.disk.fingerprints[name]
 
     def truncate(self, name: str, size: int) -> None:
-        """Truncate a file."""
+        """Truncate a file and sync it."""
         self.disk.content[name] = self.disk.content[name][:size]
+        self.disk.synced.pop(name, None)
 
     def remove(self, name: str) -> None:
         """Remove a file."""
@@ -147,6 +172,16 @@
         if self.disk.fails("unlink"):
             raise OSError(self.disk.error, "unlink failed")
         self.disk.content.pop(name, None)
+        self.disk.synced.pop(name, None)
+
+    async def sync(self, names: Sequence[str]) -> None:
+        """Sync files and their folder."""
+        if self.closed:
+            raise OSError(errno.EIO, "the process is gone")
+        if self.disk.fails("fsync", "fsync of folder"):
+            raise OSError(self.disk.error, "fsync failed")
+        for name in names:
+            self.disk.synced.pop(name, None)
 
     async def append(self, name: str, data: bytes) -> None:
         """Append after the sync time.
@@ -154,6 +189,7 @@
         A failed write keeps half of the data, a failed sync keeps all of it.
         """
         await self.wait_written(name, data, replacing=False)
+        self.disk.keep_unsynced(name)
         former = self.disk.content.get(name, b"")
         if self.disk.fails("create", "write"):
             self.disk.content[name] = former + data[: len(data) // 2]
@@ -161,6 +197,7 @@
         self.disk.content[name] = former + data
         if self.disk.fails("fsync"):
             raise OSError(self.disk.error, "fsync failed")
+        self.disk.synced.pop(name, None)
 
     async def replace(self, name: str, data: bytes) -> None:
         """Replace a file after the sync time.
@@ -170,9 +207,11 @@
         await self.wait_written(name, data, replacing=True)
         if self.disk.fails("create", "write", "fsync", "rename"):
             raise OSError(self.disk.error, "replacement failed")
+        self.disk.keep_unsynced(name)
         self.disk.put(name, data)
         if self.disk.fails("fsync of folder"):
             raise OSError(self.disk.error, "fsync of folder failed")
+        self.disk.synced.pop(name, None)
 
     async def wait_written(self, name: str, data: bytes, replacing: bool) -> None:
         """Wait for the sync time; raises OSError if the process ended meanwhile."""
