--- a/tests/platform/test_odd_configurations.py
+++ b/tests/platform/test_odd_configurations.py
@@ -89,10 +89,10 @@
         draw_json(),
         max_size=2,
     ),
-    flow_hash=strategies.integers(0, 1 << 32),
+    flow_key=strategies.binary(min_size=12, max_size=12),
 )
 async def test_accepted_configuration_can_be_applied(
-    document: dict[str, Any], route: dict[str, Any], flow_hash: int
+    document: dict[str, Any], route: dict[str, Any], flow_key: bytes
 ) -> None:
     role = FakeController()
     routes = [make_route(**route)]
@@ -103,7 +103,7 @@
         for (address, port), item in index_routes(table).routes.items():
             assert 0 <= address < 1 << 32
             assert 0 <= port < 1 << 16
-            assert item.choose_service(flow_hash) == "chairs"
+            assert item.choose_service(flow_key) == "chairs"
 
 
 async def test_numbers_and_levels_in_ignored_fields_are_accepted() -> None:
