agreement: give controllers without a disk no vote

What callers saw: nothing yet; found by review. Once hosts without a disk lost power, no change was acknowledged and no read answered, with every host with a disk running.

Cause: with tolerated losses set, the leader promoted every learner that asked for admission and had caught up. A controller without a disk asks only if it isn't in the configuration or heard from no leader for 2 s, so it normally never asks as a learner that caught up. After a freeze of 2 s or longer it does: its request and its acknowledgement of the waiting heartbeat are sent together. The request may also wait for an earlier admission while the learner catches up.

Evidence: test_controller_without_a_disk_gets_no_vote_when_it_asks_again failed before: c03 and c04, without a disk, became voters.

Change: the request says whether its sender wants a vote, and the leader promotes only those. A controller of an earlier release doesn't say so and remains a learner until it is restarted.

--- a/src/lentilfork/agreement/joining.py
+++ b/src/lentilfork/agreement/joining.py
@@ -12,7 +12,8 @@
 it is new or if its folder is not the one with which it was admitted. The leader
 admits it as a learner, and promotes it once it has synced all committed entries, if
 a vote is vacant. A voter that has not responded for `replace_silent_ms` is demoted
-to make room. If no vote is vacant, the replica stays a spare.
+to make room. If no vote is vacant, the replica stays a spare. A replica without a
+disk remains a learner: a majority must not depend on what a restart forgets.
 """
 
 import asyncio
@@ -155,7 +156,10 @@
         """Send a join request to the known controllers and to the leader they name."""
         core = self.core
         member = Controller(
-            core.name, core.settings.control_address, False, core.storage.disk_id
+            core.name,
+            core.settings.control_address,
+            core.has_disk,
+            core.storage.disk_id,
         )
         request = agreement_pb2.JoinRequest(controller=encode_controller(member))
         known = {
@@ -217,7 +221,7 @@
             )
         if known.voter:
             return "voter"
-        if joiner.name not in leadership.list_caught_up():
+        if not joiner.voter or joiner.name not in leadership.list_caught_up():
             return "learner"
         return await self.promote(leadership, configuration, known)
 
--- a/tests/agreement/test_tolerance.py
+++ b/tests/agreement/test_tolerance.py
@@ -119,3 +119,20 @@
     fleet.acknowledge("c03")
     fleet.read("c03")
     fleet.close()
+
+
+# Guards against a configuration that can't be read after hosts without a disk lost
+# power: one that was frozen asked for admission again, and got a vote.
+def test_controller_without_a_disk_gets_no_vote_when_it_asks_again() -> None:
+    fleet = Fleet(3, 2, 1, seed=7)
+    fleet.run_until(lambda: fleet.list_controllers() == set(fleet.names))
+    for name in sorted(fleet.diskless):
+        joining = fleet.replicas[name].joining
+        fleet.loop.run_until_complete(joining.request_admission())
+    fleet.run(1.0)
+    assert fleet.list_voters() == fleet.names[:3]
+    for name in sorted(fleet.diskless):
+        fleet.crash(name)
+    fleet.acknowledge("c00")
+    fleet.read("c00")
+    fleet.close()
