agreement: keep the votes that the tolerated losses need

What callers saw: nothing yet; found by review. A controller that was cut off from all others acknowledged changes that only its own disk held.

Cause: the vote of a silent voter was taken early whenever the number of voters was even, also with fewer voters than the tolerated losses need. With tolerance 1, a host that lost its disk is a learner for a moment, and two voters remain. If they are cut off from each other then, the leader takes the vote of the other one and is a majority by itself, until the cut ends. If its disk is lost, so is what it acknowledged, and the others find no majority, as they still count its vote.

Change: no vote is taken unless there are more voters than the tolerated losses need.

--- a/src/lentilfork/agreement/removals.py
+++ b/src/lentilfork/agreement/removals.py
@@ -2,12 +2,13 @@
 
 A voter that is gone for good has to lose its vote before the next ones are lost, and a
 voter that is only silent for a while should keep it: a configuration without it bears
-fewer losses once it is back. So a vote is taken
+fewer losses once it is back. So a vote is taken only if there are more voters than the
+tolerated losses need, since fewer could acknowledge what the losses then destroy:
 
 - early if the number of voters is even: then one vote less bears as many losses, and
   any majority of the larger configuration contains a majority of the smaller one;
-- after `replace_silent_s` if it is odd, larger than what the tolerated losses need, and
-  two voters are silent, since the voters then bear one loss less than they should;
+- after `replace_silent_s` if it is odd and two voters are silent, since the voters then
+  bear one loss less than they should;
 - late if only one of them is.
 
 One vote is taken at a time. Without votes to take, a controller without a vote that
@@ -65,10 +66,10 @@
 
 def get_vote_factor(voters: int, needed: int, silent: int) -> float:
     """Return the multiple of the silent time after which a voter loses its vote."""
-    if voters % 2 == 0:
-        return EARLY_FACTOR
     if voters <= needed:
         return math.inf
+    if voters % 2 == 0:
+        return EARLY_FACTOR
     return LATE_FACTOR if silent < 2 else 1.0
 
 
--- a/tests/agreement/test_removals.py
+++ b/tests/agreement/test_removals.py
@@ -20,6 +20,7 @@
 @pytest.mark.parametrize(
     ("voters", "silent_s", "expected"),
     [
+        (2, {"v0": 100.0}, None),
         (3, {"v0": 100.0}, None),
         (4, {"v0": 1.4}, None),
         (4, {"v0": 1.6}, "v0"),
--- a/tests/agreement/test_tolerance.py
+++ b/tests/agreement/test_tolerance.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tests.agreement.cluster import make_change
 from tests.agreement.fakes import Disk
 from tests.agreement.fleet import Fleet
 
@@ -136,3 +137,27 @@
     fleet.acknowledge("c00")
     fleet.read("c00")
     fleet.close()
+
+
+# Guards against a change that one host acknowledges alone: it took the vote of the only
+# other voter, while the third host, whose disk was lost, waited for its vote.
+@pytest.mark.parametrize("seed", [25, 42, 51, 53, 56])
+def test_leader_that_is_cut_off_acknowledges_nothing_alone(seed: int) -> None:
+    fleet = Fleet(3, 0, 1, seed)
+    fleet.acknowledge("c00")
+    leader = fleet.get_leader().core.name
+    lost = next(name for name in fleet.names if name != leader)
+    fleet.crash(lost)
+    fleet.wipe(lost)
+    fleet.run(0.5)
+    fleet.start(lost)
+    fleet.run_until(lambda: lost not in fleet.list_voters())
+    fleet.network.isolate(fleet.addresses[leader])
+    fleet.run(2.5 + 2 * fleet.rng.random())
+    change = make_change(100)
+    task = fleet.propose(leader, change)
+    fleet.run_until(task.done)
+    assert change.change_id not in fleet.accepted
+    fleet.network.heal()
+    fleet.acknowledge(lost)
+    fleet.close()
