forwarding: confirm the newest table by voters only

A balancer resets packets without a route only if most controllers confirmed that its table is the newest. Controllers without a vote counted too, if the settings name them; three that lag and one voter could have confirmed an older table while a new route was in force.

--- a/src/lentilfork/forwarding/membership.py
+++ b/src/lentilfork/forwarding/membership.py
@@ -146,14 +146,18 @@
             self.controllers.setdefault(seed, ControllerView(seed))
 
     def has_fresh_table(self, now: float) -> bool:
-        """Return whether most controllers recently had no newer table than this one."""
+        """Return whether most controllers recently had no newer table than this one.
+
+        Those that don't vote are left out: a majority is one of the voters.
+        """
+        voters = [view for view in self.controllers.values() if not view.partial]
         fresh = [
             view
-            for view in self.controllers.values()
+            for view in voters
             if now - view.last_heard_at <= FRESH_TABLE_S
             and view.table_version <= self.routes.version
         ]
-        return 2 * len(fresh) > len(self.controllers)
+        return 2 * len(fresh) > len(voters)
 
     def find_newer_table(self, now: float) -> tuple[SocketName, int] | None:
         """Return a controller with the newest table and its version.
--- a/tests/forwarding/test_roster.py
+++ b/tests/forwarding/test_roster.py
@@ -351,6 +351,23 @@
     assert not network.member.has_fresh_table(network.now)
 
 
+# Guards against a route that was added but is refused: controllers without a vote,
+# which may lag, confirmed the older table as the newest.
+def test_table_is_not_confirmed_by_controllers_without_a_vote() -> None:
+    network = FakeNetwork(controllers=4)
+    for number in (2, 3):
+        network.servers[number].partial = True
+    network.table_versions = [1, 1, 1, 1]
+    network.member.apply_table(state_pb2.RouteTable(version=1))
+    for _ in range(10):
+        network.advance()
+    assert network.member.has_fresh_table(network.now)
+    network.down |= {0}
+    for _ in range(10):
+        network.advance()
+    assert not network.member.has_fresh_table(network.now)
+
+
 def test_owners_prefer_available_agents_in_the_same_data_centre() -> None:
     roster = Roster()
     roster.replace(
