tests: controllers without a majority log whose votes they miss

Cause: the log line of failed elections had no test, so it could be lost again.

Change: a test in which one of three controllers lost its disk and one is down.

--- a/tests/agreement/test_tolerance.py
+++ b/tests/agreement/test_tolerance.py
@@ -2,6 +2,7 @@
 
 from itertools import combinations
 
+import logbook
 import pytest
 
 from tests.agreement.cluster import make_change
@@ -161,3 +162,28 @@
     fleet.network.heal()
     fleet.acknowledge(lost)
     fleet.close()
+
+
+# Guards against an incident that logs can't explain: they didn't say why there is no
+# leader.
+def test_controllers_without_a_majority_log_whose_votes_they_miss() -> None:
+    fleet = Fleet(3, 0, 1, seed=8)
+    fleet.crash_all()
+    fleet.wipe("c01")
+    fleet.start("c00")
+    fleet.start("c01")
+    handler = logbook.TestHandler()
+    with handler.applicationbound():
+        fleet.run(10)
+    lines = [
+        record.kwargs
+        for record in handler.records
+        if record.message == "no majority of votes"
+    ]
+    assert lines, "the failed election was not logged"
+    assert all(line["granted"] == "c00" for line in lines)
+    assert lines[-1]["voters"] == 3
+    assert lines[-1]["silent"] == "c02"
+    assert "c01" in lines[-1]["refused"] + lines[-1]["other_folder"]
+    assert len(lines) < 5, "the same outcome is logged once"
+    fleet.close()
