agreement: measure the silence of voters in one place

Cause: joining computed the seconds since a voter's last acknowledgement by itself, beside Leadership.measure_silence, which removals use.

Change: joining calls measure_silence. Which voter is found stays as it was.

Result: behaviour unchanged; test_replicas, test_tolerance and test_removals pass.

--- a/src/lentilfork/agreement/joining.py
+++ b/src/lentilfork/agreement/joining.py
@@ -315,15 +315,9 @@
 
 def find_unresponsive_voter(leadership: Leadership) -> Controller | None:
     """Return a voter that acknowledged nothing for `replace_silent_ms`, if any."""
-    now_s = leadership.core.get_time_s()
+    silent_s = leadership.measure_silence()
     limit_s = leadership.core.settings.replace_silent_ms / MS_PER_S
     voters = list_voters(leadership.core.configuration)
     return next(
-        (
-            voter
-            for voter in voters
-            if (peer := leadership.peers.get(voter.name)) is not None
-            and now_s - peer.last_ack_s >= limit_s
-        ),
-        None,
+        (voter for voter in voters if silent_s.get(voter.name, 0.0) >= limit_s), None
     )
