forwarding: list the services of a route in one place

Cause: balancers and agents each joined the services that a route had lately with those it has now.

Change: FormerServices.list_all_services, called by both.

--- a/src/lentilfork/forwarding/balancer.py
+++ b/src/lentilfork/forwarding/balancer.py
@@ -120,7 +120,7 @@
         service = hash_name(route.choose_service(key))
         owners = self.roster.rank_owners(service, self.ingress, key)
         if not owners and not packet.is_opening:
-            service, owners = self.find_other_owners(packet, route, key, now)
+            service, owners = self.find_other_owners(packet, key, now)
         if not owners:
             self.refuse_without_agent(packet, now)
             return
@@ -140,14 +140,14 @@
         self.send(encode_envelope(envelope), owner.address)
 
     def find_other_owners(
-        self, packet: FlowPacket, route: Route, key: bytes, now: float
+        self, packet: FlowPacket, key: bytes, now: float
     ) -> tuple[int, list[AgentRecord]]:
         """Return another service of an open flow's route that has agents, and these.
 
         The service that the table names for the flow has none yet.
         """
         address = packet.destination, packet.destination_port
-        names = [*self.former_services.list_services(address, now), *route.services]
+        names = self.former_services.list_all_services(address, self.routes, now)
         for service in map(hash_name, names):
             owners = self.roster.rank_owners(service, self.ingress, key)
             if owners:
--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -288,11 +288,7 @@
             return local
         key = make_caller_key(packet)
         address = packet.destination, packet.destination_port
-        route = self.routes.routes.get(address)
-        names = {
-            *(route.services if route is not None else ()),
-            *self.former_services.list_services(address, now),
-        }
+        names = self.former_services.list_all_services(address, self.routes, now)
         for service in {envelope.service, *map(hash_name, names)} - {self.service}:
             owners = self.roster.rank_owners(service, envelope.ingress, key)
             if not owners:
--- a/src/lentilfork/forwarding/routes.py
+++ b/src/lentilfork/forwarding/routes.py
@@ -93,6 +93,14 @@
         """Return the names of the services that a route had lately."""
         return list(select_recent(self.replaced_at.get(address, {}), now))
 
+    def list_all_services(
+        self, address: tuple[int, int], routes: RouteIndex, now: float
+    ) -> list[str]:
+        """Return the names of the services that a route had lately or has now."""
+        route = routes.routes.get(address)
+        current = route.services if route is not None else ()
+        return [*self.list_services(address, now), *current]
+
 
 def select_recent(times: dict[str, float], now: float) -> dict[str, float]:
     """Return the services whose flows may still be open."""
