forwarding: give the search for a flow a module of its own

Change: search.py with FlowSearch, encode_tag and decode_tag; FlowDelivery calls it. test_delivery.py imports the limit of hops from there; no assertion changed.

--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -6,7 +6,6 @@
 forwarded it, so that a packet of an unknown flow is dropped after all were asked.
 """
 
-from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Final
@@ -15,7 +14,6 @@
 from lentilfork.forwarding.decisions import DecisionLog
 from lentilfork.forwarding.envelopes import Envelope
 from lentilfork.forwarding.envelopes import Kind
-from lentilfork.forwarding.envelopes import encode_envelope
 from lentilfork.forwarding.envelopes import encode_placement_notice
 from lentilfork.forwarding.failures import FailureRate
 from lentilfork.forwarding.flows import Flow
@@ -35,6 +33,9 @@
 from lentilfork.forwarding.roster import Roster
 from lentilfork.forwarding.routes import FormerServices
 from lentilfork.forwarding.routes import RouteIndex
+from lentilfork.forwarding.search import FlowSearch
+from lentilfork.forwarding.search import decode_tag
+from lentilfork.forwarding.search import encode_tag
 
 __all__ = ["FlowDelivery"]
 
@@ -46,15 +47,6 @@
 # Flows older than this may be dropped, so an agent that has run for longer has seen the
 # opening of every flow that its backend server holds.
 MAXIMUM_FLOW_AGE_S: Final = 60.0
-# Agents that a packet of an unknown flow is forwarded to: as many as an envelope and a
-# tag can count. The agent that holds the flow notifies a new owner by itself, so in a
-# larger service the flow is found by a retransmission of the packet.
-MAXIMUM_SEARCH_HOPS: Final = 250
-# A tag is the number of hops, and this bit if the flow is searched in reverse order.
-SEARCH_BACK_TAG: Final = 1 << 8
-HOPS_MASK: Final = SEARCH_BACK_TAG - 1
-# Searches whose direction is known: flows that a restarted owner looks for at a time.
-MAXIMUM_SEARCHES: Final = 4096
 # A SYN that is rejected later than this isn't answered with a reset. The rest of the
 # time until the owner repeats its offer is for the way from the owner.
 REJECTION_TIMEOUT_S: Final = OFFER_TIMEOUT_S / 2
@@ -90,8 +82,7 @@
     # packet other than a rejected one, and the time of the first of them.
     unanswered_syns: int
     unanswered_since: float
-    # Whether the last search for a flow that began here was in reverse order.
-    searches: OrderedDict[bytes, bool]
+    search: FlowSearch
     send: Callable[[bytes, SocketName], None]
     send_to_caller: Callable[[bytes, int], None]
     send_to_server: Callable[[bytes], None]
@@ -126,7 +117,14 @@
         self.failures = FailureRate()
         self.unanswered_syns = 0
         self.unanswered_since = 0.0
-        self.searches = OrderedDict()
+        self.search = FlowSearch(
+            name,
+            service,
+            roster,
+            counters,
+            decisions,
+            self.send_searched,
+        )
 
     def deliver(self, envelope: Envelope, packet: FlowPacket, now: float) -> None:
         """Deliver a packet to the backend server, or forward it to another agent.
@@ -212,11 +210,11 @@
         if flow is None:
             envelope = self.search_other_services(envelope, packet, now)
             if now >= self.flows_complete_since:
-                self.forward_to_next_agent(packet, envelope)
+                self.search.forward_to_next_agent(packet, envelope)
                 return
         elif not flow.accepts_acknowledgement(packet.acknowledgement):
             envelope = self.search_other_services(envelope, packet, now)
-            self.forward_to_next_agent(packet, envelope)
+            self.search.forward_to_next_agent(packet, envelope)
             return
         else:
             self.flows.record_use(flow, now)
@@ -258,76 +256,22 @@
     def deliver_to_server(self, packet: FlowPacket, envelope: Envelope) -> None:
         """Send a packet to the backend server; its tag keeps the state of a search."""
         self.counters.add("packets_delivered")
-        tag = envelope.hops
-        if envelope.kind is Kind.SEARCH_BACK:
-            tag |= SEARCH_BACK_TAG
-        self.send_to_server(self.codec.write_tag(packet.data, tag))
-
-    def choose_direction(self, key: bytes) -> Kind:
-        """Return the kind of envelope for a search that begins here.
+        self.send_to_server(self.codec.write_tag(packet.data, encode_tag(envelope)))
 
-        Each further search for a flow goes the other way, since an agent that has
-        stopped and doesn't count as lost yet ends a search.
-        """
-        backward = not self.searches.pop(key, True)
-        self.searches[key] = backward
-        if len(self.searches) > MAXIMUM_SEARCHES:
-            self.searches.popitem(last=False)
-        return Kind.SEARCH_BACK if backward else Kind.DELIVER
+    def send_searched(self, data: bytes, address: SocketName) -> None:
+        """Send an envelope of a search; `send` is set after the search was made."""
+        self.send(data, address)
 
     def search_other_services(
         self, envelope: Envelope, packet: FlowPacket, now: float
     ) -> Envelope:
-        """Send a packet of a flow that is not here to its owners under other services.
+        """Ask the owners of a flow that is not here under its route's other services.
 
-        Its route has, or had lately, these services. Only the first agent of a search
-        asks them. Returns the envelope for the search in this agent's own service.
+        Returns the envelope for the search in this agent's own service.
         """
-        local = replace(envelope, service=self.service)
-        if envelope.hops > 0 or envelope.repeated:
-            return local
-        key = make_caller_key(packet)
         address = packet.destination, packet.destination_port
         names = self.former_services.list_all_services(address, self.routes, now)
-        for service in {envelope.service, *map(hash_name, names)} - {self.service}:
-            owners = self.roster.rank_owners(service, envelope.ingress, key)
-            if not owners:
-                continue
-            # The envelope's own service has been left because of its owner's directory.
-            kind = Kind.DELIVER if service == envelope.service else Kind.ROUTE
-            copy = replace(
-                envelope, kind=kind, service=service, repeated=True, data=packet.data
-            )
-            self.counters.add("flows_searched_in_other_service")
-            self.send(encode_envelope(copy), owners[0].address)
-        return local
-
-    def forward_to_next_agent(self, packet: FlowPacket, envelope: Envelope) -> None:
-        """Forward a packet of a flow that is not here to the next agent of the service.
-
-        The packet is dropped once every agent that is not lost has been asked, or
-        `MAXIMUM_SEARCH_HOPS` of them.
-        """
-        agents = [
-            agent
-            for agent in self.roster.list_agents(self.service)
-            if not agent.lost or agent.name == self.name
-        ]
-        key = make_caller_key(packet)
-        hops = envelope.hops + 1
-        if hops >= min(len(agents), MAXIMUM_SEARCH_HOPS):
-            self.counters.add("packets_dropped", "flow_not_found")
-            self.decisions.write("dropped", key, "no agent holds the flow", hops=hops)
-            return
-        position = next(
-            (index for index, agent in enumerate(agents) if agent.name == self.name), 0
-        )
-        kind = envelope.kind if envelope.hops else self.choose_direction(key)
-        step = -1 if kind is Kind.SEARCH_BACK else 1
-        next_agent = agents[(position + step) % len(agents)]
-        self.counters.add("packets_passed_on")
-        forwarded = replace(envelope, kind=kind, hops=hops, data=packet.data)
-        self.send(encode_envelope(forwarded), next_agent.address)
+        return self.search.ask_other_services(envelope, packet, names)
 
     def handle_server_packet(self, data: bytes, now: float) -> None:
         """Forward a packet of the backend server, or handle one that it rejected."""
@@ -463,10 +407,10 @@
         key = make_caller_key(returned)
         flow = self.flows.find(key)
         ingress = flow.ingress if flow is not None else 0
-        is_backward = bool(packet.tag & SEARCH_BACK_TAG)
+        kind, hops = decode_tag(packet.tag)
         envelope = Envelope(
-            Kind.SEARCH_BACK if is_backward else Kind.DELIVER,
-            packet.tag & HOPS_MASK,
+            kind,
+            hops,
             self.service,
             ingress or self.data_centre,
             0,
@@ -486,7 +430,7 @@
         ):
             self.reset_lost_flow(flow, returned)
         else:
-            self.forward_to_next_agent(returned, envelope)
+            self.search.forward_to_next_agent(returned, envelope)
 
     def may_be_open_elsewhere(self, flow: Flow | None, now: float) -> bool:
         """Return whether a flow whose SYN was rejected may be open at another agent.
--- /dev/null
+++ b/src/lentilfork/forwarding/search.py
@@ -0,0 +1,143 @@
+"""Search of the agent that holds a flow, from agent to agent of a service.
+
+A packet of an unknown flow visits the agents in order of their names, and for the next
+search in reverse order. Envelopes between agents and the tags of packets at a backend
+server carry the number of agents that were asked and the direction.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from collections.abc import Iterable
+from dataclasses import replace
+from typing import Final
+
+from lentilfork.counters import Counters
+from lentilfork.forwarding.decisions import DecisionLog
+from lentilfork.forwarding.envelopes import Envelope
+from lentilfork.forwarding.envelopes import Kind
+from lentilfork.forwarding.envelopes import encode_envelope
+from lentilfork.forwarding.packets import FlowPacket
+from lentilfork.forwarding.packets import hash_name
+from lentilfork.forwarding.packets import make_caller_key
+from lentilfork.forwarding.roster import Roster
+
+__all__ = ["MAXIMUM_SEARCH_HOPS", "FlowSearch", "decode_tag", "encode_tag"]
+
+SocketName = tuple[str, int]
+# Agents that a packet of an unknown flow is forwarded to: as many as an envelope and a
+# tag can count. The agent that holds the flow notifies a new owner by itself, so in a
+# larger service the flow is found by a retransmission of the packet.
+MAXIMUM_SEARCH_HOPS: Final = 250
+# A tag is the number of hops, and this bit if the flow is searched in reverse order.
+SEARCH_BACK_TAG: Final = 1 << 8
+HOPS_MASK: Final = SEARCH_BACK_TAG - 1
+# Searches whose direction is known: flows that a restarted owner looks for at a time.
+MAXIMUM_SEARCHES: Final = 4096
+
+
+def encode_tag(envelope: Envelope) -> int:
+    """Return the tag that keeps the state of a search at a backend server."""
+    back = SEARCH_BACK_TAG if envelope.kind is Kind.SEARCH_BACK else 0
+    return envelope.hops | back
+
+
+def decode_tag(tag: int) -> tuple[Kind, int]:
+    """Return the kind of envelope and the number of hops that a tag stands for."""
+    back = bool(tag & SEARCH_BACK_TAG)
+    return Kind.SEARCH_BACK if back else Kind.DELIVER, tag & HOPS_MASK
+
+
+class FlowSearch:
+    """Forwards packets of flows that one agent does not hold."""
+
+    name: str
+    # Identifier of the agent's service, see `hash_name`.
+    service: int
+    roster: Roster
+    counters: Counters
+    decisions: DecisionLog
+    send: Callable[[bytes, SocketName], None]
+    # Whether the last search for a flow that began here was in reverse order.
+    directions: OrderedDict[bytes, bool]
+
+    def __init__(
+        self,
+        name: str,
+        service: int,
+        roster: Roster,
+        counters: Counters,
+        decisions: DecisionLog,
+        send: Callable[[bytes, SocketName], None],
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.roster = roster
+        self.counters = counters
+        self.decisions = decisions
+        self.send = send
+        self.directions = OrderedDict()
+
+    def choose_direction(self, key: bytes) -> Kind:
+        """Return the kind of envelope for a search that begins here.
+
+        Each further search for a flow goes the other way, since an agent that has
+        stopped and doesn't count as lost yet ends a search.
+        """
+        backward = not self.directions.pop(key, True)
+        self.directions[key] = backward
+        if len(self.directions) > MAXIMUM_SEARCHES:
+            self.directions.popitem(last=False)
+        return Kind.SEARCH_BACK if backward else Kind.DELIVER
+
+    def ask_other_services(
+        self, envelope: Envelope, packet: FlowPacket, names: Iterable[str]
+    ) -> Envelope:
+        """Send a packet of a flow that is not here to its owners under other services.
+
+        Its route has, or had lately, the services `names`. Only the first agent of a
+        search asks them. Returns the envelope for the search in this agent's own
+        service.
+        """
+        local = replace(envelope, service=self.service)
+        if envelope.hops > 0 or envelope.repeated:
+            return local
+        key = make_caller_key(packet)
+        for service in {envelope.service, *map(hash_name, names)} - {self.service}:
+            owners = self.roster.rank_owners(service, envelope.ingress, key)
+            if not owners:
+                continue
+            # The envelope's own service has been left because of its owner's directory.
+            kind = Kind.DELIVER if service == envelope.service else Kind.ROUTE
+            copy = replace(
+                envelope, kind=kind, service=service, repeated=True, data=packet.data
+            )
+            self.counters.add("flows_searched_in_other_service")
+            self.send(encode_envelope(copy), owners[0].address)
+        return local
+
+    def forward_to_next_agent(self, packet: FlowPacket, envelope: Envelope) -> None:
+        """Forward a packet of a flow that is not here to the next agent of the service.
+
+        The packet is dropped once every agent that is not lost has been asked, or
+        `MAXIMUM_SEARCH_HOPS` of them.
+        """
+        agents = [
+            agent
+            for agent in self.roster.list_agents(self.service)
+            if not agent.lost or agent.name == self.name
+        ]
+        key = make_caller_key(packet)
+        hops = envelope.hops + 1
+        if hops >= min(len(agents), MAXIMUM_SEARCH_HOPS):
+            self.counters.add("packets_dropped", "flow_not_found")
+            self.decisions.write("dropped", key, "no agent holds the flow", hops=hops)
+            return
+        position = next(
+            (index for index, agent in enumerate(agents) if agent.name == self.name), 0
+        )
+        kind = envelope.kind if envelope.hops else self.choose_direction(key)
+        step = -1 if kind is Kind.SEARCH_BACK else 1
+        next_agent = agents[(position + step) % len(agents)]
+        self.counters.add("packets_passed_on")
+        forwarded = replace(envelope, kind=kind, hops=hops, data=packet.data)
+        self.send(encode_envelope(forwarded), next_agent.address)
--- a/tests/forwarding/test_delivery.py
+++ b/tests/forwarding/test_delivery.py
@@ -5,7 +5,6 @@
 
 import pytest
 
-from lentilfork.forwarding.delivery import MAXIMUM_SEARCH_HOPS
 from lentilfork.forwarding.envelopes import Envelope
 from lentilfork.forwarding.envelopes import Kind
 from lentilfork.forwarding.envelopes import encode_envelope
@@ -13,6 +12,7 @@
 from lentilfork.forwarding.ownership import Offer
 from lentilfork.forwarding.packets import hash_name
 from lentilfork.forwarding.packets import make_caller_key
+from lentilfork.forwarding.search import MAXIMUM_SEARCH_HOPS
 from tests.forwarding.simulation import ACK_BIT as ACK
 from tests.forwarding.simulation import FIN_BIT as FIN
 from tests.forwarding.simulation import SERVICE
