forwarding: deliver unknown flows after an agent's restart, also with bootstrap set

What callers saw: requests on flows that were open before the agent of their backend server restarted stayed without an answer, if its settings still said `bootstrap`.

Cause: the agent took `bootstrap` as proof that its backend server holds no flow from before. It passed packets of unknown flows on; the other agents did too, and the last one dropped them ("no agent holds the flow").

Change: the setting isn't used by agents any more. An agent delivers packets of unknown flows for the lifetime of a flow after its start, unless a connection to its backend server is refused once its own sockets are open: every flow of a server that starts later opens through this process.

--- a/src/lentilfork/forwarding/processes.py
+++ b/src/lentilfork/forwarding/processes.py
@@ -321,7 +321,7 @@
             self.roster,
             BackendServer(settings.service, settings.server_interval_s),
             self.counters,
-            now if settings.first_start else now + MAXIMUM_FLOW_AGE_S,
+            now + MAXIMUM_FLOW_AGE_S,
         )
         self.membership.agent = record
         self.roster.listeners.append(lambda: self.agent.apply_roster(time.monotonic()))
@@ -376,6 +376,11 @@
         try:
             async with asyncio.timeout(SERVER_CONNECT_TIMEOUT_S):
                 _, writer = await asyncio.open_connection(*self.settings.server_address)
+        except ConnectionRefusedError:
+            log.info("no backend server yet", error="connection refused")
+            # All flows of a server that starts from now on open through this process.
+            self.agent.delivery.flows_complete_since = time.monotonic()
+            return
         except (OSError, TimeoutError) as error:
             log.info("no backend server yet", error=repr(error))
             return
--- a/src/lentilfork/forwarding/settings.py
+++ b/src/lentilfork/forwarding/settings.py
@@ -53,8 +53,6 @@
     server_address: SocketName
     # Interval of the backend server's announcements.
     server_interval_s: float
-    # Whether no agent ran here before, so that the backend server holds no older flow.
-    first_start: bool
     # Time from the signal to stop until the process is killed.
     grace_s: float
 
--- a/src/lentilfork/platform/settings.py
+++ b/src/lentilfork/platform/settings.py
@@ -190,7 +190,6 @@
         require("listen.outbound", settings.listen.outbound),
         require("app", settings.app),
         settings.heartbeat_ms / MS_PER_S,
-        settings.bootstrap,
         settings.bounds.grace_s,
     )
 
--- a/tests/forwarding/test_malformed.py
+++ b/tests/forwarding/test_malformed.py
@@ -108,7 +108,6 @@
         ("10.0.0.8", 2),
         ("10.0.0.8", 3),
         1.0,
-        False,
         1.0,
     )
     role = FlowAgentRole(settings, HeaderCodec())
--- a/tests/forwarding/test_processes.py
+++ b/tests/forwarding/test_processes.py
@@ -80,7 +80,6 @@
         pick_address(),
         server,
         TIMEOUT_S,
-        False,
         1.0,
     )
     return FlowAgentRole(settings, HeaderCodec())
