forwarding: notify the owner of an open flow again after it has started anew

What callers saw: after a route got another service, requests on open flows stayed without an answer once the agents of the new service were killed and started again.

Cause: an agent notified an owner of its flows once for each name. An owner whose process was replaced before it counted as lost keeps its name and rank, but its directory is empty, and as a new process it doesn't know which services the route had before.

Change: a flow remembers the epoch (incarnation) of the owner's process that was notified. A roster with a newer one makes the holder notify it again.

--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -351,17 +351,25 @@
             self.send(encode_placement_notice(flow.key, self.name), flow.offered_by)
 
     def notify_owner(self, flow: Flow, now: float) -> None:
-        """Notify the owner of a flow where it is served, if the owner has changed."""
+        """Notify the owner of a flow where it is served, if the owner has changed.
+
+        An owner whose process was replaced counts as changed.
+        """
         opening = not flow.notified_owner
         ingress = flow.ingress or self.data_centre
         owners = self.rank_owners_by_route(flow.key, ingress)
-        if not owners or owners[0].name == flow.notified_owner:
+        if not owners:
+            return
+        owner = owners[0]
+        notified = flow.notified_owner, flow.notified_incarnation
+        if (owner.name, owner.incarnation) == notified:
             return
-        flow.notified_owner = owners[0].name
-        if flow.notified_owner == self.name:
+        flow.notified_owner = owner.name
+        flow.notified_incarnation = owner.incarnation
+        if owner.name == self.name:
             self.owner.handle_placement_notice(flow.key, self.name, now)
-        elif owners[0].address != flow.offered_by or not opening:
-            self.send(encode_placement_notice(flow.key, self.name), owners[0].address)
+        elif owner.address != flow.offered_by or not opening:
+            self.send(encode_placement_notice(flow.key, self.name), owner.address)
 
     def rank_owners_by_route(self, key: bytes, ingress: int) -> list[AgentRecord]:
         """Return the owners of a flow under the service that its route has now.
--- a/src/lentilfork/forwarding/flows.py
+++ b/src/lentilfork/forwarding/flows.py
@@ -74,8 +74,10 @@
     offered_by: tuple[str, int] | None = None
     # Whether its SYN was also offered to another agent, where the flow may be open.
     repeated: bool = False
-    # Name of the owner that was last notified of this flow; "" if none was.
+    # Name of the owner that was last notified of this flow, "" if none was, and the
+    # epoch of its process: one that starts again has forgotten the notice.
     notified_owner: str = ""
+    notified_incarnation: int = 0
     # Time of the last notice that the caller uses the flow with this backend server.
     confirmed_at: float = float("-inf")
 
--- a/tests/forwarding/simulation.py
+++ b/tests/forwarding/simulation.py
@@ -22,6 +22,7 @@
 from lentilfork.forwarding.backend_server import ServerState
 from lentilfork.forwarding.balancer import FlowBalancer
 from lentilfork.forwarding.decisions import DecisionLog
+from lentilfork.forwarding.delivery import MAXIMUM_FLOW_AGE_S
 from lentilfork.forwarding.envelopes import read_kind
 from lentilfork.forwarding.packets import PacketFlags
 from lentilfork.forwarding.roster import AgentRecord
@@ -224,6 +225,7 @@
         speed: float,
         slots: int,
         service: str = SERVICE,
+        incarnation: int = 1,
     ) -> None:
         self.world = world
         self.name = name
@@ -235,7 +237,7 @@
         self.roster = Roster()
         record = AgentRecord(
             name,
-            1,
+            incarnation,
             1,
             self.address,
             service,
@@ -373,6 +375,31 @@
             self.schedule_roster_update()
         return host
 
+    def restart_agent(self, name: str) -> AgentHost:
+        """Replace the agent of a host, whose backend server keeps running.
+
+        The new process has an empty table of flows and no routes.
+        """
+        former = self.hosts[name]
+        former.down = True
+        host = AgentHost(
+            self,
+            name,
+            former.data_centre,
+            former.server.speed,
+            former.server.slots,
+            former.service,
+            former.agent.record.incarnation + 1,
+        )
+        host.server = former.server
+        host.server.host = host
+        host.agent.delivery.flows_complete_since = self.clock.now + MAXIMUM_FLOW_AGE_S
+        self.hosts[name] = host
+        host.announce_server()
+        host.tick()
+        self.schedule_roster_update()
+        return host
+
     def schedule_roster_update(self) -> None:
         """Schedule an update of all rosters after a short delay."""
         self.clock.call_in(0.05, self.update_rosters)
--- a/tests/forwarding/test_route_changes.py
+++ b/tests/forwarding/test_route_changes.py
@@ -75,6 +75,15 @@
                 make_routes(self.version, weights), self.clock.now
             )
 
+    def restart_agents(self, service: str, weights: dict[str, int]) -> None:
+        """Start the agents of a service again; they get the newest route table."""
+        for name in [item.name for item in self.hosts.values()]:
+            if self.hosts[name].service == service:
+                host = self.restart_agent(name)
+                self.record_packets(host)
+                routes = make_routes(self.version, weights)
+                host.agent.delivery.apply_routes(routes, self.clock.now)
+
     def open_flows(self) -> list[Attempt]:
         """Open flows with requests that take seconds; return their attempts."""
         known = set(self.attempts)
@@ -217,6 +226,20 @@
     assert world.send_and_collect(attempts) == holders
 
 
+# Guards against open flows that are cut off when the agents of the service that their
+# route has now start again: their names stay, but they don't know where the flows are.
+def test_open_flows_stay_when_the_agents_of_the_new_service_start_again() -> None:
+    world = RouteWorld({SERVICE: 1})
+    attempts = world.open_flows()
+    holders = {item.port: [world.find_holder(item)] for item in attempts}
+    world.change_balancers({NEXT: 1})
+    world.change_agents({NEXT: 1})
+    world.clock.run(world.clock.now + ARRIVAL_S)
+    world.restart_agents(NEXT, {NEXT: 1})
+    world.clock.run(world.clock.now + ARRIVAL_S)
+    assert world.send_and_collect(attempts) == holders
+
+
 # Guards against new flows that still open at the former service.
 def test_new_flows_follow_the_new_table() -> None:
     world = RouteWorld({SERVICE: 1})
