forwarding: look for flows in all services after a start without a history of tables

What callers saw: after a route got another service, requests on open flows stayed without an answer if the agents of both services, or the balancers, had started again.

Cause: only processes that applied the table before the change know which service the route had. Where none is left, a packet was searched in the new service only.

Change: FormerServices knows whether its history is complete, which it is once the process has had tables for as long as a flow may live. Before that, balancers and the first agent of a search also ask up to 16 of the services that have agents.

Result: test_open_flows_stay_when_the_agents_of_both_services_start_again and test_open_flows_stay_when_balancers_start_again_after_the_change fail on the code before and pass now. The other tests of the file play processes with a complete history, so that they don't profit from the new search; tests/forwarding passes.

--- a/src/lentilfork/forwarding/balancer.py
+++ b/src/lentilfork/forwarding/balancer.py
@@ -147,8 +147,10 @@
         The service that the table names for the flow has none yet.
         """
         address = packet.destination, packet.destination_port
-        names = self.former_services.list_all_services(address, self.routes, now)
-        for service in map(hash_name, names):
+        services = self.former_services.list_all_services(
+            address, self.routes, self.roster.services, now
+        )
+        for service in services:
             owners = self.roster.rank_owners(service, self.ingress, key)
             if owners:
                 return service, owners
--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -270,8 +270,10 @@
         Returns the envelope for the search in this agent's own service.
         """
         address = packet.destination, packet.destination_port
-        names = self.former_services.list_all_services(address, self.routes, now)
-        return self.search.ask_other_services(envelope, packet, names)
+        services = self.former_services.list_all_services(
+            address, self.routes, self.roster.services, now
+        )
+        return self.search.ask_other_services(envelope, packet, services)
 
     def handle_server_packet(self, data: bytes, now: float) -> None:
         """Forward a packet of the backend server, or handle one that it rejected."""
--- a/src/lentilfork/forwarding/routes.py
+++ b/src/lentilfork/forwarding/routes.py
@@ -2,8 +2,10 @@
 
 import math
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
+from itertools import islice
 from typing import Final
 
 import xxhash
@@ -16,6 +18,8 @@
 # A flow that was opened under an earlier table may be dropped at this age.
 FORMER_SERVICE_LIFETIME_S: Final = 60.0
 HASH_RANGE: Final = 1 << 64
+# Services that a process without a history of tables looks for a flow in.
+MAXIMUM_OTHER_SERVICES: Final = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,12 +73,17 @@
 
     # Times at which the services were replaced, by address and port and by name.
     replaced_at: dict[tuple[int, int], dict[str, float]]
+    # From this time on, `replaced_at` contains every service with open flows; infinite
+    # before the first table.
+    complete_since: float
 
     def __init__(self) -> None:
         self.replaced_at = {}
+        self.complete_since = math.inf
 
     def record(self, former: RouteIndex, routes: RouteIndex, now: float) -> None:
         """Record the services that a newer table names no longer; drop expired ones."""
+        self.complete_since = min(self.complete_since, now + FORMER_SERVICE_LIFETIME_S)
         for address, route in former.routes.items():
             newer = routes.routes.get(address)
             kept = newer.services if newer is not None else ()
@@ -94,12 +103,24 @@
         return list(select_recent(self.replaced_at.get(address, {}), now))
 
     def list_all_services(
-        self, address: tuple[int, int], routes: RouteIndex, now: float
-    ) -> list[str]:
-        """Return the names of the services that a route had lately or has now."""
+        self,
+        address: tuple[int, int],
+        routes: RouteIndex,
+        present: Iterable[int],
+        now: float,
+    ) -> list[int]:
+        """Return the identifiers of the services that a route had lately or has now.
+
+        A process that has started lately doesn't know the tables before, so it adds
+        some of the services `present`, those that have agents.
+        """
         route = routes.routes.get(address)
         current = route.services if route is not None else ()
-        return [*self.list_services(address, now), *current]
+        names = [*self.list_services(address, now), *current]
+        services = dict.fromkeys(map(hash_name, names))
+        if now < self.complete_since:
+            services |= dict.fromkeys(islice(present, MAXIMUM_OTHER_SERVICES))
+        return list(services)
 
 
 def select_recent(times: dict[str, float], now: float) -> dict[str, float]:
--- a/src/lentilfork/forwarding/search.py
+++ b/src/lentilfork/forwarding/search.py
@@ -17,7 +17,6 @@
 from lentilfork.forwarding.envelopes import Kind
 from lentilfork.forwarding.envelopes import encode_envelope
 from lentilfork.forwarding.packets import FlowPacket
-from lentilfork.forwarding.packets import hash_name
 from lentilfork.forwarding.packets import make_caller_key
 from lentilfork.forwarding.roster import Roster
 
@@ -90,11 +89,11 @@
         return Kind.SEARCH_BACK if backward else Kind.DELIVER
 
     def ask_other_services(
-        self, envelope: Envelope, packet: FlowPacket, names: Iterable[str]
+        self, envelope: Envelope, packet: FlowPacket, services: Iterable[int]
     ) -> Envelope:
         """Send a packet of a flow that is not here to its owners under other services.
 
-        Its route has, or had lately, the services `names`. Only the first agent of a
+        Its route may have, or have had, one of `services`. Only the first agent of a
         search asks them. Returns the envelope for the search in this agent's own
         service.
         """
@@ -102,7 +101,7 @@
         if envelope.hops > 0 or envelope.repeated:
             return local
         key = make_caller_key(packet)
-        for service in {envelope.service, *map(hash_name, names)} - {self.service}:
+        for service in {envelope.service, *services} - {self.service}:
             owners = self.roster.rank_owners(service, envelope.ingress, key)
             if not owners:
                 continue
--- a/tests/forwarding/test_route_changes.py
+++ b/tests/forwarding/test_route_changes.py
@@ -7,6 +7,7 @@
 from lentilfork.forwarding.packets import make_caller_key
 from lentilfork.forwarding.routes import FORMER_SERVICE_LIFETIME_S
 from lentilfork.forwarding.routes import FormerServices
+from lentilfork.forwarding.routes import RouteIndex
 from tests.forwarding.simulation import ACK_BIT
 from tests.forwarding.simulation import ADDRESS
 from tests.forwarding.simulation import CODEC
@@ -47,6 +48,11 @@
         self.version = 1
         self.change_balancers(weights)
         self.change_agents(weights)
+        # All processes have run for long.
+        for balancer in chain.from_iterable(self.balancers.values()):
+            balancer.former_services.complete_since = 0.0
+        for host in self.hosts.values():
+            host.agent.delivery.former_services.complete_since = 0.0
         self.clock.run(self.clock.now + 0.5)
 
     def record_packets(self, host: AgentHost) -> None:
@@ -240,6 +246,38 @@
     assert world.send_and_collect(attempts) == holders
 
 
+# Guards against open flows that are cut off when all agents start again after a change:
+# then no process knows the service that their route had before.
+def test_open_flows_stay_when_the_agents_of_both_services_start_again() -> None:
+    world = RouteWorld({SERVICE: 1})
+    attempts = world.open_flows()
+    holders = {item.port: world.find_holder(item) for item in attempts}
+    world.change_balancers({NEXT: 1})
+    world.change_agents({NEXT: 1})
+    world.clock.run(world.clock.now + ARRIVAL_S)
+    for service in (SERVICE, NEXT):
+        world.restart_agents(service, {NEXT: 1})
+    world.clock.run(world.clock.now + ARRIVAL_S)
+    for port, names in world.send_and_collect(attempts).items():
+        assert holders[port] in names
+
+
+# Guards against open flows that are cut off by balancers that start after the change,
+# while the new service has no agents.
+def test_open_flows_stay_when_balancers_start_again_after_the_change() -> None:
+    world = RouteWorld({SERVICE: 1}, next_hosts=0)
+    attempts = world.open_flows()
+    holders = {item.port: [world.find_holder(item)] for item in attempts}
+    for data_centre, balancers in world.balancers.items():
+        balancers[:] = [world.make_balancer(data_centre) for _ in balancers]
+        for balancer in balancers:
+            balancer.routes = RouteIndex()
+    world.change_balancers({NEXT: 1})
+    world.change_agents({NEXT: 1})
+    world.update_rosters()
+    assert world.send_and_collect(attempts) == holders
+
+
 # Guards against new flows that still open at the former service.
 def test_new_flows_follow_the_new_table() -> None:
     world = RouteWorld({SERVICE: 1})
