forwarding: reset no flow that a restarted server has opened before its first heartbeat

Cause: the agent learns of the new incarnation from its first heartbeat, and then reset every flow that was open at the server. Flows that the new incarnation had opened by then were among them; until three announcements are missed, the agent keeps offering SYNs.

Change: a flow remembers when its SYN-ACK was first seen. The reset spares flows that were answered after the start of the incarnation, whose age comes from `born` and the clock of the same host. If the clock was set forward meanwhile, too many flows are spared, which are reset as soon as the server rejects a packet of them; if it was set back, none.

Result: test_first_announcement_of_a_server_resets_no_flow_that_it_has_opened fails without the age, as on the code before (one reset), and passes now; the other tests of resets pass with a start after all of their flows.

--- a/src/lentilfork/forwarding/agent.py
+++ b/src/lentilfork/forwarding/agent.py
@@ -178,11 +178,13 @@
             return
         self.loads.record_report(report, now)
 
-    def handle_announcement(self, announcement: ServerAnnouncement, now: float) -> None:
-        """Handle an announcement of the backend server."""
+    def handle_announcement(
+        self, announcement: ServerAnnouncement, now: float, age_s: float = 0.0
+    ) -> None:
+        """Handle an announcement of the backend server, which started `age_s` ago."""
         if self.server.handle_announcement(announcement, now):
             # The flows of the previous incarnation ended with it.
-            self.delivery.reset_all_flows("backend server started anew")
+            self.delivery.reset_all_flows("backend server started anew", now - age_s)
             self.delivery.flows_complete_since = now
             self.delivery.failures = FailureRate()
         if self.server.latest is announcement:
--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -302,8 +302,7 @@
     def record_progress(self, flow: Flow, packet: FlowPacket, now: float) -> None:
         """Update the state of a flow from a packet that the backend server sent."""
         if packet.flags & OPENED == OPENED:
-            flow.sequence = packet.sequence
-            flow.notified_owner = ""
+            flow.record_syn_answer(packet.sequence, now)
             self.confirm_offer(flow, now)
         if packet.payload_bytes:
             # After a restart of this agent, the SYN-ACK of the flow is not known.
@@ -451,12 +450,15 @@
             flow is None or flow.repeated or now - flow.offered_at > REJECTION_TIMEOUT_S
         )
 
-    def reset_all_flows(self, reason: str) -> None:
-        """Reset the flows that were open at the backend server, which lost them.
+    def reset_all_flows(self, reason: str, started_at: float) -> None:
+        """Reset the flows that were open at the backend server before it started.
 
-        Others that it was offered are only removed: they may be open elsewhere.
+        Others that it was offered are only removed: they may be open elsewhere. Flows
+        whose SYN it has answered since `started_at` stay.
         """
         for flow in self.flows.list_open():
+            if flow.answered_at >= started_at:
+                continue
             if flow.acknowledged is None:
                 self.flows.remove(flow.key)
                 continue
--- a/src/lentilfork/forwarding/flows.py
+++ b/src/lentilfork/forwarding/flows.py
@@ -52,6 +52,8 @@
     used_at: float
     # First sequence number of the backend server; None if its SYN-ACK was not seen.
     sequence: int | None = None
+    # Time at which the SYN-ACK with that number was first seen.
+    answered_at: float = float("-inf")
     # The same of the closed flow that had this key before; None if there was none.
     former_sequence: int | None = None
     # Whether it waits for the answer to its SYN or to a request.
@@ -85,6 +87,13 @@
         """Return whether a caller's acknowledgement can belong to this flow."""
         return self.sequence is None or is_within(acknowledgement, self.sequence)
 
+    def record_syn_answer(self, sequence: int, now: float) -> None:
+        """Record a SYN-ACK of the backend server, which may be sent repeatedly."""
+        if sequence != self.sequence:
+            self.answered_at = now
+        self.sequence = sequence
+        self.notified_owner = ""
+
     def record_acknowledgement(self, acknowledgement: int) -> None:
         """Record the acknowledgement in a caller's packet that was delivered.
 
--- a/src/lentilfork/forwarding/processes.py
+++ b/src/lentilfork/forwarding/processes.py
@@ -390,7 +390,11 @@
 
     def handle_announcement(self, announcement: ServerAnnouncement) -> None:
         """Handle an announcement of the backend server."""
-        self.agent.handle_announcement(announcement, time.monotonic())
+        # The server runs on this host and reads the same clock. If the clock was set
+        # forward since its start, flows that it has lost are reset when it rejects
+        # their packets.
+        age_s = max(time.time() - announcement.born_ms / MS_PER_S, 0.0)
+        self.agent.handle_announcement(announcement, time.monotonic(), age_s)
 
     def handle_leave(self, server_id: str, born_ms: int | None) -> None:
         """Handle the backend server's message that it stops."""
--- a/tests/forwarding/test_resets.py
+++ b/tests/forwarding/test_resets.py
@@ -1,5 +1,7 @@
 """Only the backend server that holds a flow and its agent reset the flow."""
 
+from dataclasses import replace
+
 import pytest
 
 from lentilfork.forwarding.envelopes import Envelope
@@ -82,7 +84,9 @@
         deliver(host, ACK, OTHER_SEQUENCE + 1, b"request")
     if answered:
         answer_syn(host)
-    host.agent.delivery.reset_all_flows("backend server started anew")
+    host.agent.delivery.reset_all_flows(
+        "backend server started anew", host.world.clock.now + 1
+    )
     assert read_resets(sent) == []
     assert host.agent.flows.list_open() == []
 
@@ -94,10 +98,32 @@
     answer_syn(host)
     deliver(host, ACK, SEQUENCE + 1, b"request")
     deliver(host, ACK, SEQUENCE + 900)
-    host.agent.delivery.reset_all_flows("backend server started anew")
+    host.agent.delivery.reset_all_flows(
+        "backend server started anew", host.world.clock.now + 1
+    )
     assert read_resets(sent) == [SEQUENCE + 900]
 
 
+# Guards against resets of flows that a server has opened since it started again, before
+# its first announcement reached the agent.
+def test_first_announcement_of_a_server_resets_no_flow_that_it_has_opened() -> None:
+    host, sent = make_host()
+    latest = host.agent.server.latest
+    assert latest is not None
+    deliver(host, SYN)
+    answer_syn(host)
+    deliver(host, ACK, SEQUENCE + 1, b"request")
+    clock = host.world.clock
+    clock.run(clock.now + 0.5)
+    started = replace(latest, born_ms=latest.born_ms + 9_000, sequence=1)
+    host.agent.handle_announcement(started, clock.now, 0.8)
+    assert read_resets(sent) == []
+    assert len(host.agent.flows.list_open()) == 1
+    restarted = replace(started, born_ms=started.born_ms + 9_000)
+    host.agent.handle_announcement(restarted, clock.now, 0.2)
+    assert read_resets(sent) == [SEQUENCE + 1]
+
+
 # Guards against callers that wait for a server that has lost their flow, if its agent
 # started after the flow had opened.
 def test_start_of_a_server_resets_flows_that_opened_before_its_agent_started() -> None:
@@ -105,7 +131,9 @@
     answer = make_packet(SERVICE_ADDRESS, CALLER, ACK, SEQUENCE + 900, 0, b"answer")
     host.agent.handle_server_packet(answer, host.world.clock.now)
     deliver(host, ACK, SEQUENCE + 906)
-    host.agent.delivery.reset_all_flows("backend server started anew")
+    host.agent.delivery.reset_all_flows(
+        "backend server started anew", host.world.clock.now + 1
+    )
     assert read_resets(sent) == [SEQUENCE + 906]
 
 
