forwarding: let controllers other than the primary answer few heartbeats of agents

Cause: each agent announces itself to every voter five times a second, as their watch over it needs, and each voter answered each time with its table version and the list of controllers.

Change: an announcement may be quiet, which requests no answer. Agents ask controllers other than the primary every 0.6 s, as balancers do, and all of them at each heartbeat once the primary is late by half an interval; so does a balancer now.

--- a/src/lentilfork/forwarding/membership.py
+++ b/src/lentilfork/forwarding/membership.py
@@ -44,9 +44,12 @@
 # Interval until a first controller responds. It is shorter than the usual one, since a
 # member cannot serve without a roster.
 DISCOVERY_INTERVAL_S: Final = 0.08
-# Interval for controllers that are only asked for their table version: those that
-# neither watch this member's heartbeats nor send it roster changes.
+# Interval at which controllers other than the primary are asked for their table
+# version and the list of controllers.
 STATUS_INTERVAL_S: Final = 0.6
+# A primary that is silent for longer has missed an announcement. All controllers are
+# asked then, since one that responds may have to replace it.
+PRIMARY_LATE_S: Final = 0.3
 CONTROLLER_TIMEOUT_S: Final = 0.7
 # A controller that the others no longer list is removed after this time without a
 # response.
@@ -79,7 +82,8 @@
 
     address: SocketName
     last_heard_at: float = float("-inf")
-    announced_at: float = float("-inf")
+    # Time of the last announcement that requested a reply.
+    asked_at: float = float("-inf")
     # Whether it has run long enough to know all agents.
     warm: bool = False
     # Whether some agents don't announce themselves to it.
@@ -180,25 +184,31 @@
     def announce(self, now: float, *, immediate: bool = False) -> None:
         """Announce this member to the controllers.
 
-        Controllers that are only asked for their table version are skipped between two
-        status intervals, unless `immediate` is set.
+        Between two status intervals, controllers other than the primary are skipped by
+        balancers and needn't reply to agents, whose heartbeats they watch, unless
+        `immediate` is set.
         """
         self.choose_primary(now)
+        current = self.controllers.get(self.primary) if self.primary else None
+        late = current is None or now - current.last_heard_at > PRIMARY_LATE_S
         for view in list(self.controllers.values()):
             primary = view.address == self.primary
-            searching = self.primary is None
-            frequent = immediate or primary or searching or self.agent is not None
-            if not frequent and now - view.announced_at < STATUS_INTERVAL_S:
-                continue
-            view.announced_at = now
-            self.send_announcement(view.address, subscribe=primary)
-
-    def send_announcement(self, address: SocketName, *, subscribe: bool) -> None:
-        """Send one announcement."""
+            due = now - view.asked_at >= STATUS_INTERVAL_S
+            if immediate or primary or late or due:
+                view.asked_at = now
+                self.send_announcement(view.address, subscribe=primary)
+            elif self.agent is not None:
+                self.send_announcement(view.address, subscribe=False, quiet=True)
+
+    def send_announcement(
+        self, address: SocketName, *, subscribe: bool, quiet: bool = False
+    ) -> None:
+        """Send one announcement; a quiet one requests no reply."""
         announcement = roster_pb2.Announcement(
             name=self.name,
             table_version=self.routes.version,
             subscribe=subscribe,
+            quiet=quiet,
         )
         if subscribe:
             announcement.epoch = self.epoch
--- a/src/lentilfork/forwarding/roster_server.py
+++ b/src/lentilfork/forwarding/roster_server.py
@@ -137,8 +137,9 @@
                 log.info("member subscribed", member=announcement.name)
             self.subscribers[announcement.name] = subscriber
             self.send_changes(subscriber, self.encode_changes(subscriber.revision, now))
-        else:
-            self.subscribers.pop(announcement.name, None)
+            return
+        self.subscribers.pop(announcement.name, None)
+        if not announcement.quiet:
             header = self.make_update_header(now)
             self.send_update(subscriber.address, encode_update(header))
 
--- a/tests/forwarding/test_roster.py
+++ b/tests/forwarding/test_roster.py
@@ -300,6 +300,35 @@
     assert "agent-06" in network.member.roster.agents
 
 
+# Guards against processor time that grows with the number of controllers: each one
+# answered each heartbeat of each agent, though only the primary's answer was needed.
+def test_other_controllers_answer_few_heartbeats_while_the_primary_responds() -> None:
+    network = FakeNetwork(8)
+    network.member.agent = make_agent(9)
+    join_agents(network, 1)
+    sent = [server.counters.get("updates_sent") for server in network.servers]
+    for _ in range(30):
+        network.advance()
+        heard_at = {
+            server.entries["agent-09"].last_heard_at for server in network.servers
+        }
+        assert heard_at == {network.now}
+    answers = [
+        server.counters.get("updates_sent") - before
+        for server, before in zip(network.servers, sent, strict=True)
+    ]
+    assert answers[0] == 30
+    assert max(answers[1:]) <= 10
+    network.down.add(0)
+    network.advance()
+    network.advance()
+    assert all(
+        view.last_heard_at == network.now
+        for view in network.member.controllers.values()
+        if view.address != network.member.primary
+    )
+
+
 def test_all_controllers_are_found_from_one_seed() -> None:
     network = FakeNetwork(3)
     join_agents(network, 1)
