tests: change a route everywhere by one call

Cause: six tests of test_route_changes.py repeated the change of all balancers and agents and the time that notices take.

Change: RouteWorld.change_everywhere. No assertion changed.

Result: the file's 21 tests pass.

--- a/tests/forwarding/test_route_changes.py
+++ b/tests/forwarding/test_route_changes.py
@@ -81,6 +81,12 @@
                 make_routes(self.version, weights), self.clock.now
             )
 
+    def change_everywhere(self, weights: dict[str, int]) -> None:
+        """Apply a new route table to all processes, which notify new owners."""
+        self.change_balancers(weights)
+        self.change_agents(weights)
+        self.clock.run(self.clock.now + ARRIVAL_S)
+
     def restart_agents(self, service: str, weights: dict[str, int]) -> None:
         """Start the agents of a service again; they get the newest route table."""
         for name in [item.name for item in self.hosts.values()]:
@@ -164,9 +170,7 @@
 def test_notified_owners_forward_without_a_search() -> None:
     world = RouteWorld({SERVICE: 1})
     attempts = world.open_flows()
-    world.change_balancers({NEXT: 1})
-    world.change_agents({NEXT: 1})
-    world.clock.run(world.clock.now + ARRIVAL_S)
+    world.change_everywhere({NEXT: 1})
     world.send_and_collect(attempts)
     searched = [
         host.agent.counters.get("flows_searched") for host in world.hosts.values()
@@ -189,9 +193,7 @@
     world = RouteWorld({SERVICE: 1})
     attempts = world.open_flows()
     holders = {item.port: [world.find_holder(item)] for item in attempts}
-    world.change_balancers({NEXT: 1})
-    world.change_agents({NEXT: 1})
-    world.clock.run(world.clock.now + ARRIVAL_S)
+    world.change_everywhere({NEXT: 1})
     for host in world.hosts.values():
         host.agent.owner.directory.entries.clear()
     assert world.send_and_collect(attempts) == holders
@@ -222,9 +224,7 @@
     world = RouteWorld({SERVICE: 1})
     attempts = world.open_flows()
     holders = {item.port: [world.find_holder(item)] for item in attempts}
-    world.change_balancers({NEXT: 1})
-    world.change_agents({NEXT: 1})
-    world.clock.run(world.clock.now + ARRIVAL_S)
+    world.change_everywhere({NEXT: 1})
     for host in world.hosts.values():
         if host.service == SERVICE:
             host.agent.flows.flows.clear()
@@ -238,9 +238,7 @@
     world = RouteWorld({SERVICE: 1})
     attempts = world.open_flows()
     holders = {item.port: [world.find_holder(item)] for item in attempts}
-    world.change_balancers({NEXT: 1})
-    world.change_agents({NEXT: 1})
-    world.clock.run(world.clock.now + ARRIVAL_S)
+    world.change_everywhere({NEXT: 1})
     world.restart_agents(NEXT, {NEXT: 1})
     world.clock.run(world.clock.now + ARRIVAL_S)
     assert world.send_and_collect(attempts) == holders
@@ -252,9 +250,7 @@
     world = RouteWorld({SERVICE: 1})
     attempts = world.open_flows()
     holders = {item.port: world.find_holder(item) for item in attempts}
-    world.change_balancers({NEXT: 1})
-    world.change_agents({NEXT: 1})
-    world.clock.run(world.clock.now + ARRIVAL_S)
+    world.change_everywhere({NEXT: 1})
     for service in (SERVICE, NEXT):
         world.restart_agents(service, {NEXT: 1})
     world.clock.run(world.clock.now + ARRIVAL_S)
@@ -296,9 +292,7 @@
     world = RouteWorld({SERVICE: 1})
     attempts = world.open_flows()
     holders = {item.port: world.find_holder(item) for item in attempts}
-    world.change_balancers({NEXT: 1})
-    world.change_agents({NEXT: 1})
-    world.clock.run(world.clock.now + ARRIVAL_S)
+    world.change_everywhere({NEXT: 1})
     for attempt in attempts:
         syn = make_packet(
             (attempt.port, attempt.port), (ADDRESS, PORT), SYN_BIT, 7, retransmissions
