tests: give each fleet of the variants a loopback network of its own

Cause: once a fleet's first configuration wasn't acknowledged.

Change: the variants take the next network whose ports for metrics are free.

--- a/tests/platform/stands.py
+++ b/tests/platform/stands.py
@@ -30,6 +30,10 @@
 ZONES: Final = ("kandy-a", "nuwara-b", "badulla-c")
 SERVICES: Final = ("pack-store", "pack-store-next", "pack-store-last")
 FLOWS: Final = 12
+# Second octets of the loopback addresses of fleets, and ports in the deploy file.
+FIRST_NETWORK: Final = 16
+LAST_NETWORK: Final = 249
+METRICS_PORTS: Final = (9464, 9465, 9466)
 # Lines of the deploy file run without site-packages.
 INTERPRETER_WORDS: Final = 2
 SETTLE_S: Final = 4.0
@@ -93,6 +97,7 @@
             return body
 
     fleet = WeightedFleet(folder, **options)
+    fleet.net = choose_network(fleet.net)
     fleet.run_lines = {
         role: [sys.executable, *words[INTERPRETER_WORDS:]]
         for role, words in fleet.run_lines.items()
@@ -100,6 +105,21 @@
     return fleet
 
 
+def choose_network(first: int) -> int:
+    """Return the second octet of loopback addresses that no other fleet uses.
+
+    All processes of a role have the same port for their metrics, which the fleets don't
+    choose, so two of them with the same addresses can't run.
+    """
+    is_free = load_stand_ins().is_free
+    span = LAST_NETWORK - FIRST_NETWORK + 1
+    for step in range(span):
+        network = FIRST_NETWORK + (first - FIRST_NETWORK + step) % span
+        if all(is_free(f"127.{network}.1.1", port) for port in METRICS_PORTS):
+            return network
+    raise RuntimeError("all loopback networks are in use")
+
+
 async def run_fleet(fleet: Any, play: Callable[[], Awaitable[list[str]]]) -> list[str]:
     """Play a variant and stop the fleet; return what was broken."""
     try:
