--- a/src/lentilfork/bench/command.py
+++ b/src/lentilfork/bench/command.py
@@ -31,6 +31,7 @@
 from lentilfork.bench.experiment import draw_load_trace
 from lentilfork.bench.experiment import make_faults
 from lentilfork.bench.experiment import run_system
+from lentilfork.bench.load_table_command import LoadTableCommand
 from lentilfork.bench.plot import plot_reports
 from lentilfork.bench.report import Report
 from lentilfork.bench.trace import Trace
@@ -316,4 +317,5 @@
     application.add(RecordCommand())
     application.add(CapacityCommand())
     application.add(ControlCommand())
+    application.add(LoadTableCommand())
     return application.run()
