cli: explain where an agent would place a new flow

It could only be guessed from log lines why a flow went where it did. An agent process now replies at /explain-placement on its metrics port with its decision about a new flow and all candidates; lentilfork explain-placement shows it. Every other path of that port has the metrics, as before.

--- a/src/lentilfork/cli/application.py
+++ b/src/lentilfork/cli/application.py
@@ -10,6 +10,7 @@
 
 from lentilfork import VERSION
 from lentilfork.cli.command import CONNECTION_OPTIONS
+from lentilfork.cli.placement import ExplainPlacement
 from lentilfork.cli.presets import PresetApply
 from lentilfork.cli.presets import PresetList
 from lentilfork.cli.presets import PresetRemove
@@ -30,6 +31,7 @@
 
 COMMANDS: Final[tuple[type[Command], ...]] = (
     DumpView,
+    ExplainPlacement,
     HistoryView,
     MembersView,
     PresetApply,
--- a/src/lentilfork/exposition.py
+++ b/src/lentilfork/exposition.py
@@ -1,12 +1,16 @@
-"""Counters and durations of one process in the Prometheus text format.
+"""The read-only HTTP server of one process: its metrics, and explanations of an agent.
 
-The client library is imported at the first scrape. Most processes are never scraped, so
-this reduces their memory and start time.
+Counters and durations are in the Prometheus text format. The client library is imported
+at the first scrape. Most processes are never scraped, so this reduces their memory and
+start time.
 """
 
 from collections.abc import Iterator
 from itertools import accumulate
 from typing import TYPE_CHECKING
+from typing import Final
+from typing import Protocol
+from typing import runtime_checkable
 
 from lentilfork.counters import DURATION_BOUNDS_S
 from lentilfork.counters import Counters
@@ -16,9 +20,28 @@
 if TYPE_CHECKING:
     from prometheus_client import Metric
 
-__all__ = ["answer_scrape", "render_metrics"]
+__all__ = ["EXPLANATION_PATH", "answer_inspection", "answer_scrape", "render_metrics"]
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+EXPLANATION_PATH: Final = "/explain-placement"
+
+
+class InspectedRole(Protocol):
+    """The part of a role that every process serves."""
+
+    counters: Counters
+
+    @property
+    def generation(self) -> int:
+        """Version of the route table that is applied."""
+
+
+@runtime_checkable
+class PlacingRole(Protocol):
+    """A role that places flows: an agent."""
+
+    def answer_explanation(self, query: str) -> Response:
+        """Return where the flow that a query string describes would be placed now."""
 
 
 class CountersCollector:
@@ -77,3 +100,15 @@
     """Return the HTTP response to a scrape."""
     body = render_metrics(counters, generation)
     return Response(200, body, {"Content-Type": CONTENT_TYPE})
+
+
+async def answer_inspection(role: InspectedRole, request: Request) -> Response:
+    """Return an explanation at its path, the metrics at every other."""
+    path, _, query = request.path.partition("?")
+    if path != EXPLANATION_PATH:
+        return await answer_scrape(role.counters, role.generation, request)
+    if request.method != "GET":
+        return Response(405)
+    if not isinstance(role, PlacingRole):
+        return Response(404, b'{"error": "only agents place flows"}')
+    return role.answer_explanation(query)
--- a/src/lentilfork/forwarding/ownership.py
+++ b/src/lentilfork/forwarding/ownership.py
@@ -23,6 +23,7 @@
 from lentilfork.forwarding.envelopes import Envelope
 from lentilfork.forwarding.envelopes import Kind
 from lentilfork.forwarding.envelopes import encode_envelope
+from lentilfork.forwarding.explanation import explain_placement
 from lentilfork.forwarding.loads import LoadTable
 from lentilfork.forwarding.packets import FlowPacket
 from lentilfork.forwarding.packets import PacketCodec
@@ -211,6 +212,9 @@
             all_agents=all_agents,
         )
 
+    # Returns where a new flow would be placed now; changes nothing.
+    explain = explain_placement
+
     def place(self, envelope: Envelope, packet: FlowPacket, now: float) -> None:
         """Offer a new flow to the agent expected to answer first, or refuse it."""
         key = make_caller_key(packet)
--- a/src/lentilfork/forwarding/processes.py
+++ b/src/lentilfork/forwarding/processes.py
@@ -22,6 +22,7 @@
 from lentilfork.forwarding.delivery import MAXIMUM_FLOW_AGE_S
 from lentilfork.forwarding.envelopes import Kind
 from lentilfork.forwarding.envelopes import read_kind
+from lentilfork.forwarding.explanation_call import answer_explanation
 from lentilfork.forwarding.membership import ANNOUNCE_INTERVAL_S
 from lentilfork.forwarding.membership import DISCOVERY_INTERVAL_S
 from lentilfork.forwarding.membership import Membership
@@ -34,6 +35,7 @@
 from lentilfork.forwarding.settings import MemberSettings
 from lentilfork.forwarding.sockets import DatagramSocket
 from lentilfork.forwarding.sockets import PauseDetector
+from lentilfork.http_server import Response
 from lentilfork.logs import Logger
 from lentilfork.schema import roster_pb2
 from lentilfork.tasks import start_supervised
@@ -457,3 +459,8 @@
             "agents": sorted(self.roster.agents),
             **self.agent.dump(),
         }
+
+    def answer_explanation(self, query: str) -> Response:
+        """Return where the flow that a query string describes would be placed now."""
+        routes = self.membership.routes
+        return answer_explanation(self.agent.owner, routes, query, time.monotonic())
--- a/src/lentilfork/platform/main.py
+++ b/src/lentilfork/platform/main.py
@@ -19,7 +19,7 @@
 
 from lentilfork.addresses import split_address
 from lentilfork.errors import ExitCode
-from lentilfork.exposition import answer_scrape
+from lentilfork.exposition import answer_inspection
 from lentilfork.files import FileWatcher
 from lentilfork.http_server import Handler
 from lentilfork.http_server import Request
@@ -124,10 +124,10 @@
 
 
 async def serve_metrics(role: "AnyRole", address: tuple[str, int]) -> None:
-    """Serve the metrics of a role over HTTP."""
+    """Serve the metrics of a role, and explanations of an agent, over HTTP."""
 
     async def answer(request: Request) -> Response:
-        return await answer_scrape(role.counters, role.generation, request)
+        return await answer_inspection(role, request)
 
     await serve_http(address, answer)
 
--- a/tests/forwarding/test_processes.py
+++ b/tests/forwarding/test_processes.py
@@ -85,6 +85,19 @@
     return FlowAgentRole(settings, HeaderCodec())
 
 
+# Guards against an agent process that explains placements by a table not its own.
+def test_agent_process_explains_placements_by_its_own_table() -> None:
+    role = make_agent_role((LOOPBACK, 9))
+    query = f"caller=0.0.0.9:9&route=198.18.0.1:{PORT}&data_centre=north"
+    assert role.answer_explanation(query).status == 404
+    target = state_pb2.Target(service=SERVICE, weight=1)
+    route = state_pb2.Route(address=ADDRESS, port=PORT, targets=[target])
+    role.membership.apply_table(state_pb2.RouteTable(version=3, routes=[route]))
+    response = role.answer_explanation(query)
+    assert response.status == 200
+    assert b'"table_version": 3' in response.body
+
+
 @pytest.mark.parametrize("server_runs", [True, False])
 async def test_restarted_agent_accepts_flows_if_its_server_accepts_connections(
     server_runs: bool,
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -11,7 +11,11 @@
 
 from lentilfork import files
 from lentilfork import tasks
+from lentilfork.addresses import split_address
+from lentilfork.bench.addresses import AddressBlock
+from lentilfork.counters import Counters
 from lentilfork.errors import ExitCode
+from lentilfork.http_server import Response
 from lentilfork.platform import main
 
 
@@ -92,3 +96,35 @@
         edits.cancel()
         gc.unfreeze()
     assert applied == ["2", "3"]
+
+
+class ExplainingRole(FakeRole):
+    """A role that explains placements."""
+
+    counters = Counters()
+    generation = 4
+
+    def answer_explanation(self, query: str) -> Response:
+        """Return the query."""
+        return Response(200, query.encode())
+
+
+# Guards against a process whose metrics port has no explanations, or no metrics.
+async def test_metrics_port_serves_explanations_and_metrics() -> None:
+    block = AddressBlock()
+    try:
+        host, port = split_address(block.allocate_address(9466))
+        role: Any = ExplainingRole()
+        await main.serve_metrics(role, (host, port))
+        replies = {}
+        for path in ("/explain-placement?caller=a", "/metrics"):
+            reader, writer = await asyncio.open_connection(host, port)
+            head = f"GET {path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+            writer.write(head.encode())
+            async with asyncio.timeout(5):
+                replies[path] = await reader.read()
+            writer.close()
+    finally:
+        block.close()
+    assert replies["/explain-placement?caller=a"].endswith(b"\r\n\r\ncaller=a")
+    assert b"lentilfork_generation 4.0" in replies["/metrics"]
