--- a/src/lentilfork/bench/emulation/tables.py
+++ b/src/lentilfork/bench/emulation/tables.py
@@ -37,8 +37,8 @@
 from lentilfork.forwarding.controller import TABLE_BACKLOG
 from lentilfork.forwarding.controller import FlowControllerRole
 from lentilfork.forwarding.controller import make_settings
-from lentilfork.forwarding.membership import TableFetcher
 from lentilfork.forwarding.settings import FlowControllerSettings
+from lentilfork.forwarding.table_fetcher import TableFetcher
 from lentilfork.schema import state_pb2
 
 __all__ = ["ReplicatedController", "TableMember", "TablePlane", "slow_down"]
--- a/src/lentilfork/forwarding/controller.py
+++ b/src/lentilfork/forwarding/controller.py
@@ -27,14 +27,14 @@
 from lentilfork.errors import Failure
 from lentilfork.forwarding.envelopes import Kind
 from lentilfork.forwarding.envelopes import read_kind
-from lentilfork.forwarding.membership import LENGTH_BYTES
-from lentilfork.forwarding.membership import TABLE_PORT_OFFSET
 from lentilfork.forwarding.roster_server import RosterServer
 from lentilfork.forwarding.settings import ControllerAddress
 from lentilfork.forwarding.settings import FlowAgreementSettings
 from lentilfork.forwarding.settings import FlowControllerSettings
 from lentilfork.forwarding.sockets import DatagramSocket
 from lentilfork.forwarding.sockets import PauseDetector
+from lentilfork.forwarding.table_fetcher import LENGTH_BYTES
+from lentilfork.forwarding.table_fetcher import TABLE_PORT_OFFSET
 from lentilfork.logs import Logger
 from lentilfork.schema import agreement_pb2_grpc
 from lentilfork.schema import roster_pb2
--- a/src/lentilfork/forwarding/processes.py
+++ b/src/lentilfork/forwarding/processes.py
@@ -26,7 +26,6 @@
 from lentilfork.forwarding.membership import ANNOUNCE_INTERVAL_S
 from lentilfork.forwarding.membership import DISCOVERY_INTERVAL_S
 from lentilfork.forwarding.membership import Membership
-from lentilfork.forwarding.membership import TableFetcher
 from lentilfork.forwarding.packets import PacketCodec
 from lentilfork.forwarding.roster import AgentRecord
 from lentilfork.forwarding.roster import Roster
@@ -35,6 +34,7 @@
 from lentilfork.forwarding.settings import MemberSettings
 from lentilfork.forwarding.sockets import DatagramSocket
 from lentilfork.forwarding.sockets import PauseDetector
+from lentilfork.forwarding.table_fetcher import TableFetcher
 from lentilfork.http_server import Response
 from lentilfork.logs import Logger
 from lentilfork.schema import roster_pb2
--- a/tests/forwarding/test_controllers.py
+++ b/tests/forwarding/test_controllers.py
@@ -16,9 +16,9 @@
 from result import Ok
 
 from lentilfork.forwarding.controller import FlowControllerRole
-from lentilfork.forwarding.membership import TABLE_PORT_OFFSET
-from lentilfork.forwarding.membership import read_table
 from lentilfork.forwarding.settings import FlowControllerSettings
+from lentilfork.forwarding.table_fetcher import TABLE_PORT_OFFSET
+from lentilfork.forwarding.table_fetcher import read_table
 from lentilfork.http_server import MAXIMUM_BODY_BYTES
 from lentilfork.schema import state_pb2
 
