--- a/src/lentilfork/cli/placement.py
+++ b/src/lentilfork/cli/placement.py
@@ -123,7 +123,9 @@
 def describe(reply: ExplanationReply) -> str:
     """Return an explanation as text."""
     decision = reply.decision
-    inputs = "".join(f" {key}={value}" for key, value in decision.inputs.items())
+    inputs = "".join(
+        f" {key}={value}" for key, value in decision.inputs.items() if key != "agent"
+    )
     target = f" on {decision.agent}" if decision.agent else ""
     rows = [
         [UNKNOWN if value is None else value for value in list_cells(item)]
--- a/src/lentilfork/forwarding/explanation.py
+++ b/src/lentilfork/forwarding/explanation.py
@@ -39,6 +39,9 @@
 CHOSEN: Final = "chosen"
 COMPARED: Final = "compared"
 EXCLUDED: Final = "excluded"
+# Reasons of compared agents that are not chosen.
+COSTS_MORE: Final = "costs more by expected time, distance and failures"
+EXPECTED_TOO_LATE: Final = "its answer is expected too late"
 LOCAL: Final = "local"
 REMOTE: Final = "remote"
 
@@ -271,7 +274,8 @@
     if agent.name == decision.agent:
         outcome, reason = CHOSEN, decision.reason
     elif agent.name in compared:
-        outcome, reason = COMPARED, "not the lowest cost or not in time"
+        placed = bool(decision.agent)
+        outcome, reason = COMPARED, COSTS_MORE if placed else EXPECTED_TOO_LATE
     else:
         outcome, reason = EXCLUDED, find_exclusion(owner, agent, load, now)
     head = (agent.name, agent.data_centre, distance, outcome, reason)
