state: evacuations of data centres

Cause: operators need to evacuate a data centre, and the command has to survive lost disks and outlive delayed duplicates. An ended evacuation is kept, and each accepted change raises its version. The digest and the encoding of a state without evacuations equal those of the former build.

--- a/src/lentilfork/state/changes.py
+++ b/src/lentilfork/state/changes.py
@@ -26,6 +26,7 @@
 from lentilfork.state.model import ClusterState
 from lentilfork.state.operator_changes import apply_preset
 from lentilfork.state.operator_changes import apply_service
+from lentilfork.state.operator_changes import put_evacuation
 from lentilfork.state.operator_changes import put_route_table
 from lentilfork.state.operator_changes import remove_preset
 from lentilfork.state.operator_changes import remove_service
@@ -93,6 +94,11 @@
     "put_controllers": ChangeKind(
         put_controllers, lambda _change: "controllers", "put"
     ),
+    "put_evacuation": ChangeKind(
+        put_evacuation,
+        lambda change: f"evacuation/{change.put_evacuation.data_centre}",
+        "put",
+    ),
 }
 
 
@@ -109,7 +115,10 @@
     if kind is None:
         return "nothing"
     detail = f" {change.use_preset}" if name == "use_preset" else ""
-    return f"{kind.verb} {kind.get_subject(change)}{detail}"
+    verb = kind.verb
+    if name == "put_evacuation":
+        verb = "start" if change.put_evacuation.active else "end"
+    return f"{verb} {kind.get_subject(change)}{detail}"
 
 
 def get_version(cluster: ClusterState, subject: str) -> int:
@@ -121,6 +130,8 @@
         return cluster.services[name].version
     if kind == "preset" and name in cluster.presets:
         return cluster.presets[name].version
+    if kind == "evacuation" and name in cluster.evacuations:
+        return cluster.evacuations[name].version
     return 0
 
 
--- a/src/lentilfork/state/codec.py
+++ b/src/lentilfork/state/codec.py
@@ -13,6 +13,7 @@
 from lentilfork.state.model import Balancer
 from lentilfork.state.model import ClaimShard
 from lentilfork.state.model import Controller
+from lentilfork.state.model import Evacuation
 from lentilfork.state.model import Preset
 from lentilfork.state.model import Service
 from lentilfork.state.model import ShardName
@@ -23,6 +24,7 @@
     "decode_balancer",
     "decode_claim_shard",
     "decode_controller",
+    "decode_evacuation",
     "decode_preset",
     "decode_service",
     "decode_shard_name",
@@ -32,6 +34,7 @@
     "encode_balancer",
     "encode_claim_shard",
     "encode_controller",
+    "encode_evacuation",
     "encode_preset",
     "encode_service",
     "encode_shard_name",
@@ -205,6 +208,20 @@
     )
 
 
+def encode_evacuation(evacuation: Evacuation) -> state_pb2.Evacuation:
+    """Return the message of an evacuation."""
+    return state_pb2.Evacuation(
+        data_centre=evacuation.data_centre,
+        active=evacuation.active,
+        version=evacuation.version,
+    )
+
+
+def decode_evacuation(message: state_pb2.Evacuation) -> Evacuation:
+    """Return the evacuation of a message."""
+    return Evacuation(message.data_centre, message.active, message.version)
+
+
 @singledispatch
 def encode(item: object) -> Message:
     """Return the message of any object of the state."""
@@ -218,3 +235,4 @@
 encode.register(Voter, encode_voter)
 encode.register(ClaimShard, encode_claim_shard)
 encode.register(Controller, encode_controller)
+encode.register(Evacuation, encode_evacuation)
--- a/src/lentilfork/state/deltas.py
+++ b/src/lentilfork/state/deltas.py
@@ -22,6 +22,7 @@
 from lentilfork.state.codec import decode_balancer
 from lentilfork.state.codec import decode_claim_shard
 from lentilfork.state.codec import decode_controller
+from lentilfork.state.codec import decode_evacuation
 from lentilfork.state.codec import decode_preset
 from lentilfork.state.codec import decode_service
 from lentilfork.state.codec import decode_shard_name
@@ -29,6 +30,7 @@
 from lentilfork.state.codec import encode_balancer
 from lentilfork.state.codec import encode_claim_shard
 from lentilfork.state.codec import encode_controller
+from lentilfork.state.codec import encode_evacuation
 from lentilfork.state.codec import encode_preset
 from lentilfork.state.codec import encode_service
 from lentilfork.state.codec import encode_shard_name
@@ -80,6 +82,10 @@
         controllers=map(
             encode_controller, new.controllers.values() if controllers_changed else ()
         ),
+        # Evacuations are never removed.
+        evacuations=map(
+            encode_evacuation, list_changed(old.evacuations, new.evacuations)
+        ),
     )
 
 
@@ -141,6 +147,12 @@
             map(decode_shard_name, delta.removed_claim_shards),
         ),
         controllers={item.name: item for item in controllers} or state.controllers,
+        evacuations=merge(
+            state.evacuations,
+            delta.evacuations,
+            decode_evacuation,
+            lambda evacuation: evacuation.data_centre,
+        ),
     )
 
 
--- a/src/lentilfork/state/digests.py
+++ b/src/lentilfork/state/digests.py
@@ -18,6 +18,7 @@
 from lentilfork.state.model import ClaimShard
 from lentilfork.state.model import ClusterState
 from lentilfork.state.model import Controller
+from lentilfork.state.model import Evacuation
 from lentilfork.state.model import Preset
 from lentilfork.state.model import Service
 
@@ -26,7 +27,7 @@
 DIGEST_MODULUS: Final = 1 << 64
 CACHED_HASHES: Final = 16_384
 
-StateObject = Service | Preset | Agent | Balancer | ClaimShard | Controller
+StateObject = Service | Preset | Agent | Balancer | ClaimShard | Controller | Evacuation
 
 
 @lru_cache(CACHED_HASHES)
@@ -51,6 +52,7 @@
         state.balancers.values(),
         state.claim_shards.values(),
         state.controllers.values(),
+        state.evacuations.values(),
     )
 
 
--- a/src/lentilfork/state/model.py
+++ b/src/lentilfork/state/model.py
@@ -16,6 +16,7 @@
     "ClaimShard",
     "ClusterState",
     "Controller",
+    "Evacuation",
     "Preset",
     "Service",
     "ShardName",
@@ -137,6 +138,20 @@
     disk_id: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Evacuation:
+    """Whether new flows avoid the backend servers of a data centre.
+
+    It is kept with `active` false after its end, so that a delayed command to start it
+    again meets a later version.
+    """
+
+    data_centre: str
+    active: bool
+    # Generation of the last accepted change.
+    version: int = 0
+
+
 BUILT_IN_PRESETS: Final = (
     Preset("ordinary-day", 16, 1500, 10, 0, 60_000, 5_000, 0),
     Preset("peak", 6, 600, 5, 0, 60_000, 5_000, 0),
@@ -160,12 +175,25 @@
     balancers: dict[str, Balancer] = field(default_factory=dict)
     claim_shards: dict[ShardName, ClaimShard] = field(default_factory=dict)
     controllers: dict[str, Controller] = field(default_factory=dict)
+    # Evacuations by data centre, including ended ones.
+    evacuations: dict[str, Evacuation] = field(default_factory=dict)
 
     @property
     def limits(self) -> Preset:
         """The active preset."""
         return self.presets[self.active_preset]
 
+    @property
+    def evacuated(self) -> tuple[str, ...]:
+        """The names of the evacuated data centres, sorted."""
+        active = (item for item in self.evacuations.values() if item.active)
+        return tuple(sorted(item.data_centre for item in active))
+
+    @property
+    def evacuation_version(self) -> int:
+        """Generation of the last change of an evacuation; 0: there was never one."""
+        return max((item.version for item in self.evacuations.values()), default=0)
+
     def list_agents(self, service: str) -> list[Agent]:
         """Return the agents of a service, including draining ones, sorted by name."""
         agents = (agent for agent in self.agents.values() if agent.service == service)
--- a/src/lentilfork/state/operator_changes.py
+++ b/src/lentilfork/state/operator_changes.py
@@ -1,8 +1,9 @@
-"""Changes operators make: services, presets, the active preset, route tables."""
+"""Changes operators make: services, presets, route tables and evacuations."""
 
 from dataclasses import replace
 
 from lentilfork.schema import state_pb2
+from lentilfork.state.codec import decode_evacuation
 from lentilfork.state.codec import decode_preset
 from lentilfork.state.codec import decode_service
 from lentilfork.state.effects import Effect
@@ -10,12 +11,14 @@
 from lentilfork.state.effects import refuse
 from lentilfork.state.effects import remove_key
 from lentilfork.state.replicated import ReplicatedState
+from lentilfork.state.validation import check_evacuation
 from lentilfork.state.validation import check_preset
 from lentilfork.state.validation import check_service
 
 __all__ = [
     "apply_preset",
     "apply_service",
+    "put_evacuation",
     "remove_preset",
     "remove_service",
     "use_preset",
@@ -90,3 +93,18 @@
     if change.put_route_table.version <= state.route_table.version:
         return Effect(state)
     return Effect(replace(state, route_table=change.put_route_table))
+
+
+def put_evacuation(state: ReplicatedState, change: state_pb2.Change) -> Effect:
+    """Start or end the evacuation of a data centre; an ended one is kept.
+
+    The version rises even if the evacuation stays as it is, so that a proposal made
+    from an earlier version no longer takes effect.
+    """
+    problem = check_evacuation(change.put_evacuation)
+    if problem:
+        return refuse(state, problem)
+    version = state.cluster.generation + 1
+    evacuation = replace(decode_evacuation(change.put_evacuation), version=version)
+    evacuations = state.cluster.evacuations | {evacuation.data_centre: evacuation}
+    return change_cluster(state, evacuations=evacuations)
--- a/src/lentilfork/state/snapshots.py
+++ b/src/lentilfork/state/snapshots.py
@@ -15,12 +15,14 @@
 from lentilfork.state.codec import decode_balancer
 from lentilfork.state.codec import decode_claim_shard
 from lentilfork.state.codec import decode_controller
+from lentilfork.state.codec import decode_evacuation
 from lentilfork.state.codec import decode_preset
 from lentilfork.state.codec import decode_service
 from lentilfork.state.codec import encode_agent
 from lentilfork.state.codec import encode_balancer
 from lentilfork.state.codec import encode_claim_shard
 from lentilfork.state.codec import encode_controller
+from lentilfork.state.codec import encode_evacuation
 from lentilfork.state.codec import encode_preset
 from lentilfork.state.codec import encode_service
 from lentilfork.state.ledger import Ledger
@@ -48,6 +50,7 @@
         balancers=map(encode_balancer, state.balancers.values()),
         claim_shards=map(encode_claim_shard, state.claim_shards.values()),
         controllers=map(encode_controller, state.controllers.values()),
+        evacuations=map(encode_evacuation, state.evacuations.values()),
     )
 
 
@@ -67,6 +70,9 @@
         controllers={
             item.name: decode_controller(item) for item in message.controllers
         },
+        evacuations={
+            item.data_centre: decode_evacuation(item) for item in message.evacuations
+        },
     )
 
 
--- a/src/lentilfork/state/validation.py
+++ b/src/lentilfork/state/validation.py
@@ -17,6 +17,7 @@
     "check_agent",
     "check_claim_shard",
     "check_controllers",
+    "check_evacuation",
     "check_name",
     "check_preset",
     "check_service",
@@ -31,6 +32,7 @@
 MAXIMUM_SHARD_VOTERS: Final = 5
 MAXIMUM_LONG_PATHS: Final = 64
 MAXIMUM_CONTROLLERS: Final = 16
+MAXIMUM_DATA_CENTRE_LENGTH: Final = 255
 FULL_PERCENT: Final = 100
 
 
@@ -147,6 +149,20 @@
     return check_range("number of voters", len(names), 0, MAXIMUM_SHARD_VOTERS)
 
 
+def check_evacuation(evacuation: state_pb2.Evacuation) -> str:
+    """Check an evacuation that an operator starts or ends.
+
+    Settings of deployments name data centres freely, so any name of a plausible length
+    is valid.
+    """
+    return check_range(
+        "length of the name of a data centre",
+        len(evacuation.data_centre),
+        1,
+        MAXIMUM_DATA_CENTRE_LENGTH,
+    )
+
+
 def check_controllers(controllers: state_pb2.ControllerSet) -> str:
     """Check a set of controllers without regard to the current set."""
     members = controllers.controllers
--- a/tests/state/test_changes.py
+++ b/tests/state/test_changes.py
@@ -122,6 +122,10 @@
     "other incarnation": {
         "remove_agent": state_pb2.Voter(agent="agent-1", incarnation=11)
     },
+    "evacuation without a name": {"put_evacuation": state_pb2.Evacuation(active=True)},
+    "evacuation with a long name": {
+        "put_evacuation": state_pb2.Evacuation(data_centre="a" * 256)
+    },
     "empty change": {},
 }
 
@@ -166,3 +170,44 @@
     for number, change in enumerate((put(3, 2, "a", "d"), put(4, 1, "a", "b"))):
         state, result = apply_change(state, change)
         assert result.outcome == state_pb2.INVALID, number
+
+
+def make_evacuation(
+    number: int, active: bool, expected: int | None = None, name: str = "north"
+) -> state_pb2.Change:
+    """Return a change that starts or ends an evacuation."""
+    change = make_change(
+        number, put_evacuation=state_pb2.Evacuation(data_centre=name, active=active)
+    )
+    if expected is not None:
+        change.expected_version = expected
+    return change
+
+
+# Guards against a command that was delayed and undoes the later withdrawal: an ended
+# evacuation must keep its version.
+def test_delayed_evacuation_does_not_undo_its_withdrawal() -> None:
+    state = apply_all(make_evacuation(1, True, 0), make_evacuation(2, False, 1))
+    state, delayed = apply_change(state, make_evacuation(3, True, 0))
+    assert delayed.outcome == state_pb2.VERSION_CONFLICT
+    assert (state.cluster.evacuated, state.cluster.evacuation_version) == ((), 2)
+
+
+# Guards against a proposal that is still under way when the opposite command, which
+# was already in effect, is acknowledged: the repetition must raise the version.
+def test_repeated_evacuation_raises_its_version() -> None:
+    state = apply_all(make_evacuation(1, True), make_evacuation(2, True, 1))
+    _, late = apply_change(state, make_evacuation(3, False, 1))
+    assert late.outcome == state_pb2.VERSION_CONFLICT
+    assert state.cluster.evacuation_version == 2
+
+
+# Guards against evacuations of different data centres that conflict with each other.
+def test_evacuations_of_different_data_centres_do_not_conflict() -> None:
+    state = apply_all(make_evacuation(1, True, 0), make_evacuation(2, True, 0, "Süd/1"))
+    assert state.cluster.evacuated == ("Süd/1", "north")
+    assert [entry.summary for entry in state.history] == [
+        "start evacuation/north",
+        "start evacuation/Süd/1",
+    ]
+    assert decode_replicated(encode_replicated(state)) == state
--- a/tests/state/test_deltas.py
+++ b/tests/state/test_deltas.py
@@ -74,6 +74,9 @@
     "remove_balancer": lambda name, n: state_pb2.Voter(agent=name, incarnation=n),
     "put_claim_shard": make_shard,
     "put_controllers": make_controllers,
+    "put_evacuation": lambda name, n: state_pb2.Evacuation(
+        data_centre=name, active=n > 1
+    ),
 }
 CHANGES = strategies.tuples(strategies.sampled_from(sorted(MAKERS)), NAMES, NUMBERS)
 
@@ -111,6 +114,9 @@
     return first.cluster, second.cluster
 
 
+# Digest of the first state of `make_states` in builds that knew no evacuations.
+DIGEST_BEFORE_EVACUATIONS = 4_301_036_117_269_232_544
+
 REFUSED: dict[str, tuple[dict[str, int], str]] = {
     "gap": ({"base": 7, "generation": 8}, "made for generation 7"),
     "lower generation": ({"generation": 1}, "not above"),
@@ -137,3 +143,26 @@
     delta = make_delta(old, new)
     delta.active_preset = ""
     assert isinstance(apply_delta(diverged, delta), Err)
+
+
+# Guards against a member that never learns of an evacuation, or of its end, because
+# the delta leaves it out.
+def test_delta_carries_the_start_and_the_end_of_an_evacuation() -> None:
+    before, _ = make_states()
+    first = apply_changes(ReplicatedState(), [("apply_service", "a", 1)])
+    started = apply_changes(first, [("put_evacuation", "a", 2)])
+    ended = apply_changes(started, [("put_evacuation", "a", 1)])
+    delta = make_delta(before, started.cluster)
+    applied = apply_delta(before, delta).unwrap()
+    assert applied.evacuated == ("a",)
+    again = apply_delta(applied, make_delta(applied, ended.cluster)).unwrap()
+    assert (again.evacuated, again.evacuation_version) == ((), 3)
+
+
+# Guards against members that keep requesting snapshots from a newer build: without an
+# evacuation, its digests, deltas and snapshots must be those of builds before it.
+def test_state_without_evacuations_is_encoded_as_before() -> None:
+    old, new = make_states()
+    assert compute_digest(old) == DIGEST_BEFORE_EVACUATIONS
+    assert not make_delta(old, new).evacuations
+    assert not encode_snapshot(new).evacuations
