agreement: refuse evacuations until every voter knows them

Cause: a controller of an older build stores an evacuation as refused, and its state then differs from that of the others. Change: AppendReply.state_version; a leader refuses put_evacuation until every voter has stated version 1, and a follower asks the leader for it before it forwards the first one. On request the leader records the statements in the state, so that the loss of a voter and of the leader does not block the first evacuation.

--- a/src/lentilfork/agreement/follower.py
+++ b/src/lentilfork/agreement/follower.py
@@ -14,6 +14,7 @@
 from lentilfork.agreement.core import Role
 from lentilfork.agreement.core import log
 from lentilfork.agreement.election import Election
+from lentilfork.agreement.state_versions import STATE_VERSION
 from lentilfork.agreement.storage import StorageError
 from lentilfork.agreement.voters import Configurations
 from lentilfork.errors import Failure
@@ -42,6 +43,7 @@
             success=success,
             match_index=match_index,
             disk_id=self.core.storage.disk_id,
+            state_version=STATE_VERSION,
         )
 
     async def accept_leader(self, term: int, leader: str, address: str) -> bool:
--- a/src/lentilfork/agreement/leadership.py
+++ b/src/lentilfork/agreement/leadership.py
@@ -348,6 +348,7 @@
             peer.disk_id = reply.disk_id
             peer.match_index = 0
         peer.last_ack_s = sent_s
+        peer.state_version = reply.state_version
         if reply.success:
             peer.match_index = max(peer.match_index, reply.match_index)
             peer.next_index = peer.match_index + 1
--- a/src/lentilfork/agreement/peers.py
+++ b/src/lentilfork/agreement/peers.py
@@ -39,6 +39,8 @@
     disk_id: int = 0
     # Id of a data folder that lost entries it had acknowledged; 0 for none.
     distrusted_disk_id: int = 0
+    # Newest kinds of changes that it knows, according to its latest reply.
+    state_version: int = 0
     # Most bytes of entries that the peer is likely to confirm within one call.
     batch_bytes: int = MAXIMUM_BATCH_BYTES
     # The peer is asked to campaign and take over the leadership.
--- a/src/lentilfork/agreement/proposals.py
+++ b/src/lentilfork/agreement/proposals.py
@@ -18,6 +18,10 @@
 from lentilfork.agreement.core import Role
 from lentilfork.agreement.core import read_wall_clock_ms
 from lentilfork.agreement.leadership import Leadership
+from lentilfork.agreement.state_versions import find_needed_version
+from lentilfork.agreement.state_versions import is_recorded
+from lentilfork.agreement.state_versions import list_unprepared
+from lentilfork.agreement.state_versions import make_record
 from lentilfork.agreement.transport import TransportError
 from lentilfork.agreement.voters import check_transition
 from lentilfork.agreement.voters import encode_configuration
@@ -33,6 +37,7 @@
 # Leaves time for the answer to reach the caller within 5 s.
 PROPOSE_TIMEOUT_S: Final = 4.5
 FORWARD_TIMEOUT_S: Final = 1.5
+RECORD_TIMEOUT_S: Final = 1.0
 RETRY_INTERVAL_S: Final = 0.05
 MAXIMUM_PENDING: Final = 1_024
 STEP: Final = "propose change"
@@ -142,7 +147,15 @@
         """Forward a change to the leader."""
         core = self.core
         address = core.leader_address
+        version = find_needed_version(change)
         try:
+            if not is_recorded(core, version):
+                # A leader of an older build would append a change that it ignores.
+                probe = agreement_pb2.AppendRequest()
+                reply = await core.transport.append_entries(address, probe, timeout_s)
+                if reply.state_version < version:
+                    text = f"{address} does not know this kind of change"
+                    return agreement_pb2.ProposeReply(refused=text)
             return await core.transport.propose(address, change, timeout_s)
         except TransportError as error:
             core.counters.add("agreement_call_errors", "propose")
@@ -165,6 +178,10 @@
             return agreement_pb2.ProposeReply(refused="the leader is changing")
         if len(self.pending) >= MAXIMUM_PENDING:
             return agreement_pb2.ProposeReply(refused="too many changes are waiting")
+        unprepared = self.list_unprepared(leadership, change)
+        if unprepared:
+            text = f"not known to support this change: {', '.join(unprepared)}"
+            return agreement_pb2.ProposeReply(refused=text)
         stamped = state_pb2.Change()
         stamped.CopyFrom(change)
         stamped.time_ms = read_wall_clock_ms()
@@ -201,6 +218,30 @@
             unknown="written to the log but not confirmed by a majority"
         )
 
+    def list_unprepared(
+        self, leadership: Leadership, change: state_pb2.Change
+    ) -> list[str]:
+        """Return the voters that may not know the kind of a change."""
+        version = find_needed_version(change)
+        recorded = is_recorded(self.core, version)
+        return list_unprepared(self.core, leadership, version, recorded=recorded)
+
+    async def record_version(self, version: int) -> bool:
+        """Record in the state that all voters know a version; return whether it is.
+
+        Does nothing unless this replica leads and every voter has stated it.
+        """
+        core = self.core
+        if is_recorded(core, version):
+            return True
+        leadership = self.get_leadership()
+        if leadership is None or list_unprepared(
+            core, leadership, version, recorded=False
+        ):
+            return False
+        await self.submit(make_record(version), RECORD_TIMEOUT_S)
+        return is_recorded(core, version)
+
     def prepare_controllers(
         self, leadership: Leadership, change: state_pb2.Change
     ) -> str:
--- a/src/lentilfork/agreement/replica.py
+++ b/src/lentilfork/agreement/replica.py
@@ -280,6 +280,14 @@
         """Wait until `state` contains every change acknowledged before this call."""
         return await self.reads.confirm()
 
+    async def record_state_version(self, version: int) -> bool:
+        """Record that all voters know a version of changes; return whether it is.
+
+        Without the record a leader must have heard from every voter in its term before
+        it appends such a change.
+        """
+        return await self.proposals.record_version(version)
+
     async def submit(
         self, change: state_pb2.Change, timeout_s: float | None
     ) -> agreement_pb2.ProposeReply:
