forwarding: commands to evacuate a data centre, and their way to the members

Cause: operators send commands again at other controllers, and a delayed one must not undo a later one. Change: a controller confirms a read, checks that the operator still waits, and proposes the change for the version that it read. Updates of the roster carry the evacuations, sent at once; members' versions are kept for dumps and a metric. HTTP requests tell whether their client has closed.

--- a/src/lentilfork/forwarding/controller.py
+++ b/src/lentilfork/forwarding/controller.py
@@ -27,6 +27,8 @@
 from lentilfork.errors import Failure
 from lentilfork.forwarding.envelopes import Kind
 from lentilfork.forwarding.envelopes import read_kind
+from lentilfork.forwarding.evacuation_orders import EvacuationCommand
+from lentilfork.forwarding.evacuation_orders import EvacuationOrders
 from lentilfork.forwarding.membership import LENGTH_BYTES
 from lentilfork.forwarding.membership import TABLE_PORT_OFFSET
 from lentilfork.forwarding.roster_server import RosterServer
@@ -56,6 +58,8 @@
 # All members may fetch a new table at the same moment. Without a place in the queue,
 # the opening of a connection is repeated after a second, which is too late.
 TABLE_BACKLOG: Final = 1024
+# Calls that waited during a pause of the process are read within this time after it.
+RESUME_WINDOW_MS: Final = 500
 STEP: Final = "start controller"
 
 log = Logger("controller")
@@ -125,6 +129,7 @@
     table: StoredTable
     server: grpc.aio.Server | None
     pause_detector: PauseDetector
+    evacuation_orders: EvacuationOrders
     socket: DatagramSocket | None
     table_server: asyncio.Server | None
     tasks: list["asyncio.Task[None]"]
@@ -153,6 +158,12 @@
             self.get_time_s(),
             partial=settings.data_folder is None,
         )
+        self.evacuation_orders = EvacuationOrders(
+            self.replica,
+            self.counters,
+            self.get_time_s,
+            lambda: self.pause_detector.has_paused(RESUME_WINDOW_MS),
+        )
         self.replica.subscribe(self.apply_state)
         self.server = None
         self.socket = None
@@ -174,19 +185,29 @@
         return sorted(item.control_address for item in voters)
 
     def apply_state(self, _before: ClusterState, _after: ClusterState) -> None:
-        """Notify members if the new state has a newer route table."""
+        """Notify members if the new state has a newer route table or evacuation."""
         former = self.table.version
         self.table.apply(self.replica.state.route_table)
-        if self.table.version > former:
+        has_table = self.table.version > former
+        if has_table:
             log.info("route table committed", version=self.table.version, former=former)
+        if self.apply_evacuations() or has_table:
             self.roster_server.notify_subscribers(self.get_time_s())
 
+    def apply_evacuations(self) -> bool:
+        """Pass the evacuations to the roster; return whether they are newer."""
+        cluster = self.replica.state.cluster
+        return self.roster_server.evacuations.update(
+            cluster.evacuation_version, cluster.evacuated, self.get_time_s()
+        )
+
     async def start(self) -> Result[None, Failure]:
         """Open the data folder and the servers; on failure, close them again."""
         opened = await self.replica.start()
         if isinstance(opened, Err):
             return opened
         self.table.apply(self.replica.state.route_table)
+        self.apply_evacuations()
         host, port = self.settings.address
         try:
             self.server = self.channels.make_server(format_socket((host, port)))
@@ -210,6 +231,9 @@
             await self.stop()
             return Err(Failure(STEP, format_socket((host, port)), str(error)))
         self.tasks.append(start_supervised(self.run_expiry, "expiry"))
+        if self.settings.evacuations:
+            prepare = self.evacuation_orders.run_preparation
+            self.tasks.append(start_supervised(prepare, "evacuations"))
         return Ok(None)
 
     def apply_seeds(self, controllers: tuple[SocketName, ...]) -> None:
@@ -287,6 +311,17 @@
         log.info("route table acknowledged", version=table.version, took_ms=took_ms)
         return Ok(None)
 
+    async def evacuate(
+        self, data_centre: str, active: bool, is_disconnected: Callable[[], bool]
+    ) -> Result[None, Failure]:
+        """Evacuate a data centre, or return it to service if not `active`.
+
+        After a failure the outcome is unknown; the call may be repeated.
+        `is_disconnected` returns whether the operator has closed the connection.
+        """
+        command = EvacuationCommand(data_centre, active, is_disconnected)
+        return await self.evacuation_orders.execute(command)
+
     async def read_table(self) -> Result[state_pb2.RouteTable, Failure]:
         """Return the newest route table after a majority has confirmed it."""
         confirmed = await self.replica.confirm_read()
--- a/src/lentilfork/forwarding/roster_server.py
+++ b/src/lentilfork/forwarding/roster_server.py
@@ -15,6 +15,7 @@
 
 from lentilfork.counters import Counters
 from lentilfork.forwarding.envelopes import Kind
+from lentilfork.forwarding.evacuation_progress import EvacuationProgress
 from lentilfork.forwarding.roster import AgentRecord
 from lentilfork.forwarding.roster import decode_agent
 from lentilfork.forwarding.roster import encode_agent
@@ -84,6 +85,8 @@
     started_at: float
     entries: dict[str, Entry]
     subscribers: dict[str, Subscriber]
+    # The newest evacuations, and which members have applied them.
+    evacuations: EvacuationProgress
     # Whether only members whose settings name this controller announce themselves.
     partial: bool
     # Return the version of the newest route table and the addresses of the controllers.
@@ -116,6 +119,7 @@
         self.started_at = now
         self.entries = {}
         self.subscribers = {}
+        self.evacuations = EvacuationProgress(counters)
         self.notified_at = float("-inf")
         self.notification_scheduled = False
         self.get_table_version = get_table_version
@@ -128,6 +132,7 @@
         """Handle an announcement and reply with the changes that the member lacks."""
         if announcement.HasField("agent"):
             self.apply_agent(announcement.agent, now)
+        self.evacuations.record(announcement.name, announcement.evacuation_version, now)
         same_epoch = announcement.epoch == self.epoch
         subscriber = Subscriber(
             sender, self.epoch, announcement.revision if same_epoch else 0, now
@@ -229,6 +234,7 @@
                 entry.revision = self.revision
                 entry.removed = True
                 self.request_notification(now)
+        self.evacuations.expire(now)
         unresponsive = [
             name
             for name, subscriber in self.subscribers.items()
@@ -248,6 +254,8 @@
             data_centre=self.data_centre,
             warm=now - self.started_at >= WARM_UP_S,
             partial=self.partial,
+            evacuation_version=self.evacuations.version,
+            evacuated=self.evacuations.evacuated,
         )
 
     def list_changes(self, revision: int) -> Iterator[Entry]:
@@ -299,6 +307,7 @@
             "epoch": f"{self.epoch:016x}",
             "revision": self.revision,
             "subscribers": sorted(self.subscribers),
+            "evacuations": self.evacuations.dump(),
             "agents": {
                 name: {
                     "revision": entry.revision,
--- a/src/lentilfork/forwarding/settings.py
+++ b/src/lentilfork/forwarding/settings.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import dataclass
+from dataclasses import field
 from pathlib import Path
 
 __all__ = [
@@ -32,6 +33,8 @@
     controllers: tuple[SocketName, ...]
     # Port that callers receive packets at.
     caller_port: int
+    # Whether operators may evacuate data centres.
+    evacuations: bool = field(default=False, kw_only=True)
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +58,12 @@
     server_interval_s: float
     # Time from the signal to stop until the process is killed.
     grace_s: float
+    # Whether the deployment judges where flows are placed.
+    places: bool = field(default=False, kw_only=True)
+    # Most new flows of a cold backend server in a second: this many times the rate of
+    # its service, and this many more. None: not given.
+    cold_overshoot: float | None = field(default=None, kw_only=True)
+    cold_slack: float | None = field(default=None, kw_only=True)
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +84,8 @@
     tolerated_losses: int
     # Time without a response after which a voter may lose its vote.
     replace_silent_ms: int
+    # Whether operators may evacuate data centres.
+    evacuations: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/lentilfork/forwarding/sockets.py
+++ b/src/lentilfork/forwarding/sockets.py
@@ -43,11 +43,14 @@
 
     # Time of the last check, milliseconds since boot.
     last_check_ms: int
+    # Time of the check that found the last pause; None without one.
+    resumed_ms: int | None
     # Sockets whose datagrams are dropped after a pause.
     sockets: list["DatagramSocket"]
 
     def __init__(self) -> None:
         self.last_check_ms = read_clock_ms()
+        self.resumed_ms = None
         self.sockets = []
 
     def check(self) -> bool:
@@ -58,8 +61,19 @@
         if paused_ms <= PAUSE_THRESHOLD_MS:
             return False
         log.warning("process did not run", paused_ms=paused_ms)
+        self.resumed_ms = now_ms
         return True
 
+    def has_paused(self, window_ms: int) -> bool:
+        """Return whether a pause ended within a window before now.
+
+        Also if no check has found it yet; that check still does.
+        """
+        now_ms = read_clock_ms()
+        if now_ms - self.last_check_ms > PAUSE_THRESHOLD_MS:
+            return True
+        return self.resumed_ms is not None and now_ms - self.resumed_ms <= window_ms
+
     def drop_pending(self) -> None:
         """Drop all datagrams that wait in the registered sockets."""
         for pending in self.sockets:
--- a/src/lentilfork/http_server.py
+++ b/src/lentilfork/http_server.py
@@ -1,10 +1,12 @@
 """Small HTTP/1.1 server on asyncio streams that uses h11 for the protocol."""
 
 import asyncio
+import select
 from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+from functools import partial
 from typing import Final
 
 import h11
@@ -30,6 +32,10 @@
     method: str
     path: str
     body: bytes
+    # Returns whether the client has closed its connection.
+    is_disconnected: Callable[[], bool] = field(
+        default=lambda: False, compare=False, repr=False
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,7 +71,9 @@
     connection = h11.Connection(h11.SERVER)
     while True:
         try:
-            request = await read_request(connection, reader)
+            request = await read_request(
+                connection, reader, partial(is_disconnected, writer)
+            )
         except h11.RemoteProtocolError as error:
             if connection.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
                 await write_response(
@@ -80,6 +88,20 @@
         connection.start_next_cycle()
 
 
+def is_disconnected(writer: asyncio.StreamWriter) -> bool:
+    """Return whether the client has closed a connection, or its side of it.
+
+    Asks the kernel: the event loop may not have read the end of the stream yet, above
+    all after a pause of the process.
+    """
+    connection = writer.get_extra_info("socket")
+    if writer.is_closing() or connection is None or connection.fileno() < 0:
+        return True
+    poll = select.poll()
+    poll.register(connection.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 async def call_handler(handler: Handler, request: Request) -> Response:
     """Return the handler's response, or status 500 if the handler raises."""
     try:
@@ -95,7 +117,9 @@
 
 
 async def read_request(
-    connection: h11.Connection, reader: asyncio.StreamReader
+    connection: h11.Connection,
+    reader: asyncio.StreamReader,
+    is_disconnected: Callable[[], bool],
 ) -> Request | None:
     """Return the next request, or None if the client has closed the connection."""
     head: h11.Request | None = None
@@ -115,7 +139,7 @@
             case h11.EndOfMessage():
                 assert head is not None
                 method, path = head.method.decode(), head.target.decode()
-                return Request(method, path, bytes(body))
+                return Request(method, path, bytes(body), is_disconnected)
             case _:
                 return None
 
--- a/tests/forwarding/test_controllers.py
+++ b/tests/forwarding/test_controllers.py
@@ -20,6 +20,7 @@
 from lentilfork.forwarding.membership import read_table
 from lentilfork.forwarding.settings import FlowControllerSettings
 from lentilfork.http_server import MAXIMUM_BODY_BYTES
+from lentilfork.schema import roster_pb2
 from lentilfork.schema import state_pb2
 
 HOSTS = ("127.7.1.1", "127.7.1.2", "127.7.1.3")
@@ -54,6 +55,7 @@
                 first,
                 1,
                 1_000,
+                evacuations=True,
             )
         )
         assert await role.start() == Ok(None)
@@ -233,3 +235,47 @@
     assert group.roles[HOSTS[0]].replica.core.is_fresh
     for host in HOSTS:
         await group.stop(host)
+
+
+# Guards against an acknowledged evacuation that members learn only from the controller
+# that answered, or only with their next announcement.
+async def test_evacuation_is_sent_to_subscribers_of_every_controller(
+    controllers: Controllers,
+) -> None:
+    updates: dict[str, list[roster_pb2.RosterUpdate]] = {host: [] for host in HOSTS}
+    for host in HOSTS:
+        server = controllers.roles[host].roster_server
+        announcement = roster_pb2.Announcement(name=f"member-{host}", subscribe=True)
+        server.send = (
+            lambda data, _address, host=host: updates[host].append(  # type: ignore[misc]
+                roster_pb2.RosterUpdate.FromString(data[1:])
+            )
+        )
+        server.handle_announcement(announcement, (host, 1), time.monotonic())
+
+    async def evacuate() -> bool:
+        role = controllers.roles[HOSTS[1]]
+        return await role.evacuate("north", True, lambda: False) == Ok(None)
+
+    async def is_sent() -> bool:
+        return all(list(sent[-1].evacuated) == ["north"] for sent in updates.values())
+
+    async def is_recorded() -> bool:
+        state = controllers.roles[HOSTS[0]].replica.state
+        return state.find_result("state-version-1") is not None
+
+    await wait_until(is_recorded)
+    await wait_until(evacuate)
+    await wait_until(is_sent)
+
+
+# Guards against evacuations that a controller forgets when it restarts.
+async def test_evacuation_is_known_after_a_restart(controllers: Controllers) -> None:
+    async def evacuate() -> bool:
+        role = controllers.roles[HOSTS[1]]
+        return await role.evacuate("north", True, lambda: False) == Ok(None)
+
+    await wait_until(evacuate)
+    await controllers.stop(HOSTS[1])
+    await controllers.start(HOSTS[1], first=False)
+    assert controllers.roles[HOSTS[1]].roster_server.evacuations.evacuated == ("north",)
--- a/tests/forwarding/test_roster.py
+++ b/tests/forwarding/test_roster.py
@@ -462,3 +462,62 @@
     updates = server.encode_changes(0, network.now)
     assert len(server.entries) == 2 * AGENTS_PER_UPDATE
     assert max(map(len, updates)) <= MAXIMUM_DATAGRAM_BYTES
+
+
+def collect_updates(network: FakeNetwork) -> list[roster_pb2.RosterUpdate]:
+    """Return the list to which all updates of the first controller are added."""
+    updates: list[roster_pb2.RosterUpdate] = []
+    network.servers[0].send = lambda data, _address: updates.append(
+        roster_pb2.RosterUpdate.FromString(data[1:])
+    )
+    return updates
+
+
+def subscribe(network: FakeNetwork, name: str, evacuation_version: int = 0) -> None:
+    """Announce a member that subscribes to the first controller."""
+    announcement = roster_pb2.Announcement(
+        name=name, subscribe=True, evacuation_version=evacuation_version
+    )
+    network.servers[0].handle_announcement(announcement, MEMBER, network.now)
+
+
+# Guards against updates that differ from those before evacuations existed, and against
+# members that never learn of an evacuation.
+def test_updates_carry_evacuations_once_there_was_one() -> None:
+    network = FakeNetwork()
+    updates = collect_updates(network)
+    subscribe(network, "balancer-1")
+    fields = {field.name for field, _ in updates[-1].ListFields()}
+    assert not fields & {"evacuation_version", "evacuated"}
+    server = network.servers[0]
+    assert server.evacuations.update(7, ("north", "south"), network.now)
+    server.notify_subscribers(network.now)
+    assert updates[-1].evacuation_version == 7
+    assert updates[-1].evacuated == ["north", "south"]
+    assert not server.evacuations.update(6, (), network.now), "older ones are ignored"
+    assert server.evacuations.update(9, (), network.now)
+    subscribe(network, "balancer-1")
+    assert (updates[-1].evacuation_version, list(updates[-1].evacuated)) == (9, [])
+
+
+# Guards against an evacuation that one member never applied, without a trace of it.
+def test_lowest_evacuation_version_of_members_is_known() -> None:
+    network = FakeNetwork()
+    collect_updates(network)
+    evacuations = network.servers[0].evacuations
+    durations = network.servers[0].counters.durations
+    subscribe(network, "balancer-1")
+    subscribe(network, "balancer-2")
+    evacuations.update(7, ("north",), network.now)
+    subscribe(network, "balancer-1", 7)
+    subscribe(network, "balancer-2", 3)
+    dump = evacuations.dump()
+    assert (dump["lowest_version"], dump["lagging_names"]) == (3, ["balancer-2"])
+    assert "evacuation_applied" not in durations
+    network.now += 0.2
+    subscribe(network, "balancer-2", 7)
+    assert evacuations.lowest == 7
+    assert sum(durations["evacuation_applied"]) == 1
+    network.now += 10
+    network.servers[0].expire_members(network.now)
+    assert evacuations.members == {}
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,6 +1,8 @@
 """The HTTP server: complete requests, several per connection, and bad requests."""
 
 import asyncio
+import socket
+import struct
 
 import pytest
 
@@ -116,3 +118,30 @@
     assert 'lentilfork_events_total{event="flows_refused",reason="late"} 3.0' in text
     assert 'lentilfork_answer_time_seconds_bucket{le="0.05"} 1.0' in text
     assert "lentilfork_generation 7.0" in text
+
+
+# Guards against a handler that carries out the call of a client that has given up: the
+# event loop has not read the end of the stream yet.
+@pytest.mark.parametrize("reset", [False, True])
+async def test_handler_learns_that_its_client_has_closed(reset: bool) -> None:
+    answers: list[bool] = []
+    served = asyncio.Event()
+
+    async def handle(request: Request) -> Response:
+        answers.append(request.is_disconnected())
+        linger = struct.pack("ii", 1, 0)
+        if reset:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        client.close()
+        answers.append(request.is_disconnected())
+        served.set()
+        return Response(200)
+
+    server = await serve_http((LOOPBACK, 0), handle)
+    client = socket.create_connection(server.sockets[0].getsockname())
+    client.sendall(b"POST /x HTTP/1.1\r\nHost: a\r\n\r\n")
+    async with asyncio.timeout(5):
+        await served.wait()
+    server.close()
+    assert answers == [False, True]
+    assert not Request("POST", "/x", b"").is_disconnected()
