platform: calls for evacuations, and settings of cold endpoints

Cause: the platform's operators evacuate data centres, and its configuration gives rates of cold endpoints. Change: POST and DELETE /v1/evacuations/NAME where the settings give evacuate_ms and name the data centre in [zones]; cold_start_s and cold_per_s of services; cold_overshoot, cold_slack and contracts for agents.

--- a/src/lentilfork/documents.py
+++ b/src/lentilfork/documents.py
@@ -1,10 +1,18 @@
-"""JSON documents from other programs, read into validated models."""
+"""JSON and TOML documents from other programs, read into validated models."""
 
+import tomllib
+from pathlib import Path
 from typing import TypeVar
 
 import msgspec
+from result import Err
+from result import Ok
+from result import Result
 
-__all__ = ["decode_json"]
+from lentilfork.errors import ExitCode
+from lentilfork.errors import Failure
+
+__all__ = ["decode_json", "load_toml"]
 
 Model = TypeVar("Model")
 
@@ -18,3 +26,24 @@
         raise msgspec.DecodeError("invalid UTF-8") from None
     except RecursionError:
         raise msgspec.DecodeError("nested too deeply") from None
+
+
+def load_toml(path: Path, model: type[Model], step: str) -> Result[Model, Failure]:
+    """Return the model in a TOML file; a failure of `step` names file and reason."""
+    try:
+        values = tomllib.loads(path.read_text(encoding="utf-8"))
+        return Ok(msgspec.convert(values, model))
+    except OSError as error:
+        message = f"{error.strerror or error}; expected a readable file"
+    except UnicodeDecodeError:
+        message = "expected UTF-8 text"
+    except tomllib.TOMLDecodeError as error:
+        message = f"{error}; expected TOML"
+    except msgspec.ValidationError as error:
+        message = f"{error}"
+    except ValueError as error:
+        # An integer with more digits than `int` converts.
+        message = f"{error}; expected TOML"
+    except RecursionError:
+        message = "nested too deeply"
+    return Err(Failure(step, str(path), message, ExitCode.USAGE))
--- a/src/lentilfork/platform/bodies.py
+++ b/src/lentilfork/platform/bodies.py
@@ -31,6 +31,7 @@
 
 Milliseconds = Annotated[int, Meta(ge=0, le=MAXIMUM_UINT32)]
 PositiveMilliseconds = Annotated[int, Meta(ge=1, le=MAXIMUM_UINT32)]
+Amount = Annotated[float, Meta(ge=0, le=MAXIMUM_UINT32)]
 Count = Annotated[int, Meta(ge=0, le=MAXIMUM_INT32)]
 
 
@@ -108,6 +109,10 @@
     """A service that routes may refer to."""
 
     name: str
+    # Time for which an endpoint is cold after its start.
+    cold_start_s: Amount = 0.0
+    # New flows a second that a cold endpoint bears; 0 for no limit.
+    cold_per_s: Amount = 0.0
 
 
 class WireLimits(Struct, frozen=True):
@@ -146,6 +151,15 @@
             routes=map(encode_route, document.routes),
             idle_timeout_ms=document.limits.idle_timeout_ms,
             source=zlib.compress(body),
+            warm_ups=[
+                state_pb2.WarmUp(
+                    service=service.name,
+                    per_s=service.cold_per_s,
+                    duration_s=service.cold_start_s,
+                )
+                for service in document.services
+                if service.cold_per_s > 0
+            ],
         )
     )
 
--- a/src/lentilfork/platform/calls.py
+++ b/src/lentilfork/platform/calls.py
@@ -3,6 +3,7 @@
 import zlib
 from typing import TYPE_CHECKING
 from typing import Final
+from urllib.parse import unquote
 
 from result import Err
 
@@ -22,6 +23,9 @@
 READY_PATH: Final = "/v1/ready"
 INSTANCE_PREFIX: Final = "/v1/instances/"
 CONFIG_PATH: Final = "/v1/config"
+EVACUATION_PREFIX: Final = "/v1/evacuations/"
+# Whether a method evacuates a data centre (True) or returns it to service.
+EVACUATION_METHODS: Final = {"POST": True, "DELETE": False}
 NOT_FOUND: Final = Response(404)
 
 
@@ -54,8 +58,28 @@
             return Response(405)
 
 
-async def answer_controller(role: "FlowControllerRole", request: Request) -> Response:
-    """Store or return the configuration for an operator."""
+async def answer_evacuation(
+    role: "FlowControllerRole", request: Request, evacuable: frozenset[str]
+) -> Response:
+    """Evacuate a data centre for an operator, or return it to service."""
+    data_centre = unquote(request.path.removeprefix(EVACUATION_PREFIX))
+    if data_centre not in evacuable:
+        return NOT_FOUND
+    active = EVACUATION_METHODS.get(request.method)
+    if active is None:
+        return Response(405)
+    result = await role.evacuate(data_centre, active, request.is_disconnected)
+    return Response(503 if isinstance(result, Err) else 200)
+
+
+async def answer_controller(
+    role: "FlowControllerRole",
+    request: Request,
+    evacuable: frozenset[str] = frozenset(),
+) -> Response:
+    """Carry out an operator's call: configuration or evacuation."""
+    if request.path.startswith(EVACUATION_PREFIX):
+        return await answer_evacuation(role, request, evacuable)
     if request.path != CONFIG_PATH:
         return NOT_FOUND
     match request.method:
--- a/src/lentilfork/platform/settings.py
+++ b/src/lentilfork/platform/settings.py
@@ -1,21 +1,21 @@
 """The platform's settings file, converted to the settings of the product."""
 
-import tomllib
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
+from typing import Any
 from typing import Final
 
 import msgspec
 from msgspec import Meta
 from msgspec import Struct
 from result import Err
-from result import Ok
 from result import Result
 
 from lentilfork.addresses import MAXIMUM_PORT
 from lentilfork.addresses import check_socket_address
 from lentilfork.addresses import split_address
+from lentilfork.documents import load_toml
 from lentilfork.errors import ExitCode
 from lentilfork.errors import Failure
 from lentilfork.forwarding.settings import FlowAgentSettings
@@ -25,6 +25,7 @@
 __all__ = [
     "PlatformSettings",
     "list_controllers",
+    "list_evacuable",
     "load_settings",
     "make_agent_settings",
     "make_balancer_settings",
@@ -76,6 +77,13 @@
     grace_s: float = 6.0
     # Twice the time after which a voter without heartbeats may lose its vote.
     catch_up_s: float = 4.0
+    # Time from the acknowledgement of an evacuation until no new flow reaches the data
+    # centre; evacuations are served only if it is set.
+    evacuate_ms: float | None = None
+    # Most new flows of a cold endpoint in a second: this many times its rate ...
+    cold_overshoot: float | None = None
+    # ... and this many more.
+    cold_slack: float | None = None
 
 
 class PlatformSettings(Struct, frozen=True, kw_only=True):
@@ -101,6 +109,15 @@
     listen: Listen
     fault_tolerance: Tolerance = Tolerance()
     bounds: Bounds = Bounds()
+    # Data centres by name; the values are not used.
+    zones: dict[str, Any] = {}
+    # Sets of rules by which the deployment is judged.
+    contracts: tuple[str, ...] = ()
+
+    @property
+    def has_evacuations(self) -> bool:
+        """Whether operators may evacuate data centres."""
+        return self.bounds.evacuate_ms is not None
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,32 +129,16 @@
 
 def load_settings(path: Path) -> Result[PlatformSettings, Failure]:
     """Read and validate the settings file; a failure names file, key and reason."""
-
-    def fail(message: str) -> Err[Failure]:
-        return Err(Failure(READ_STEP, str(path), message, ExitCode.USAGE))
-
-    try:
-        values = tomllib.loads(path.read_text(encoding="utf-8"))
-        settings = msgspec.convert(values, PlatformSettings)
-    except OSError as error:
-        return fail(f"{error.strerror or error}; expected a readable file")
-    except UnicodeDecodeError:
-        return fail("expected UTF-8 text")
-    except tomllib.TOMLDecodeError as error:
-        return fail(f"{error}; expected TOML")
-    except msgspec.ValidationError as error:
-        return fail(f"{error}")
-    except ValueError as error:
-        # An integer with more digits than `int` converts.
-        return fail(f"{error}; expected TOML")
-    except RecursionError:
-        return fail("nested too deeply")
-    for key, address in list_addresses(settings):
+    loaded = load_toml(path, PlatformSettings, READ_STEP)
+    if isinstance(loaded, Err):
+        return loaded
+    for key, address in list_addresses(loaded.ok_value):
         try:
             check_socket_address(address)
         except ValueError as error:
-            return fail(f"key {key}: {error}")
-    return Ok(settings)
+            message = f"key {key}: {error}"
+            return Err(Failure(READ_STEP, str(path), message, ExitCode.USAGE))
+    return loaded
 
 
 def list_addresses(settings: PlatformSettings) -> list[tuple[str, str]]:
@@ -162,6 +163,11 @@
     return tuple((split_address(seed)[0], port) for seed in settings.seeds)
 
 
+def list_evacuable(settings: PlatformSettings) -> frozenset[str]:
+    """Return the data centres that operators may evacuate."""
+    return frozenset(settings.zones if settings.has_evacuations else ())
+
+
 def make_balancer_settings(settings: PlatformSettings) -> FlowBalancerSettings:
     """Return the settings of a balancer; MissingKeyError if a key is not set."""
     packet_address = require("listen.datagram_addr", settings.listen.datagram_addr)
@@ -172,6 +178,7 @@
         list_controllers(settings),
         packet_address[1],
         packet_address,
+        evacuations=settings.has_evacuations,
     )
 
 
@@ -191,6 +198,10 @@
         require("app", settings.app),
         settings.heartbeat_ms / MS_PER_S,
         settings.bounds.grace_s,
+        evacuations=settings.has_evacuations,
+        places="places" in settings.contracts,
+        cold_overshoot=settings.bounds.cold_overshoot,
+        cold_slack=settings.bounds.cold_slack,
     )
 
 
@@ -205,4 +216,5 @@
         settings.bootstrap,
         max(tolerance.machines, tolerance.zones * CONTROLLERS_PER_ZONE),
         round(settings.bounds.catch_up_s * MS_PER_S / REPLACE_DIVISOR),
+        settings.has_evacuations,
     )
--- a/tests/platform/test_bodies.py
+++ b/tests/platform/test_bodies.py
@@ -206,3 +206,29 @@
     assert read_leave(b'{"born": 5}') == 5
     assert read_leave(b"") is None
     assert read_leave(b"{") is None
+
+
+# Guards against limits for services that give no rate, and against rates that are lost
+# on the way to the agents.
+def test_rates_of_cold_endpoints_become_warm_ups() -> None:
+    services = [
+        {"name": "chairs", "cold_start_s": 8, "cold_per_s": 12.5},
+        {"name": "tables", "cold_start_s": 8, "cold_per_s": 0},
+        {"name": "lamps", "cold_start_s": 8},
+        {"name": "doors", "cold_per_s": 3},
+    ]
+    table = read_configuration(encode(make_configuration(services=services))).unwrap()
+    assert [(item.service, item.per_s, item.duration_s) for item in table.warm_ups] == [
+        ("chairs", 12.5, 8.0),
+        ("doors", 3.0, 0.0),
+    ]
+    plain = read_configuration(encode(make_configuration())).unwrap()
+    assert not plain.warm_ups
+
+
+@pytest.mark.parametrize("key", ["cold_start_s", "cold_per_s"])
+@pytest.mark.parametrize("value", [-1, -0.5, "3", None, [], {}, True, 1e300])
+def test_configuration_with_an_odd_rate_is_refused(key: str, value: object) -> None:
+    services = [{"name": "chairs", key: value}]
+    body = encode(make_configuration(services=services))
+    assert isinstance(read_configuration(body), Err)
--- /dev/null
+++ b/tests/platform/test_evacuations.py
@@ -0,0 +1,128 @@
+"""The calls by which operators evacuate a data centre of the platform."""
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from result import Err
+from result import Ok
+from result import Result
+
+from lentilfork.errors import Failure
+from lentilfork.http_server import Request
+from lentilfork.platform.calls import answer_controller
+from lentilfork.platform.settings import list_evacuable
+from lentilfork.platform.settings import load_settings
+from lentilfork.platform.settings import make_agent_settings
+from lentilfork.platform.settings import make_balancer_settings
+from lentilfork.platform.settings import make_controller_settings
+from tests.platform.test_settings import SETTINGS_TEXT
+from tests.platform.test_settings import write
+
+ZONES = frozenset(("north", "south east", "süd/1"))
+ROLES_TEXT = SETTINGS_TEXT.replace(
+    "[listen]",
+    'service = "chairs"\napp = "10.0.0.1:8080"\n@contracts@\n[listen]\n'
+    'outbound = "10.0.0.1:8500"',
+).replace("[bounds]", "[zones]\nnorth = 'hills'\nsouth = {}\n[bounds]\n@bounds@")
+
+
+class FakeController:
+    """The part of a controller that the calls use."""
+
+    def __init__(self, *, fails: bool = False) -> None:
+        self.fails = fails
+        self.commands: list[tuple[str, bool]] = []
+        self.disconnected: list[bool] = []
+
+    async def evacuate(
+        self, data_centre: str, active: bool, is_disconnected: Callable[[], bool]
+    ) -> Result[None, Failure]:
+        """Record a command."""
+        self.commands.append((data_centre, active))
+        self.disconnected.append(is_disconnected())
+        return Err(Failure("evacuate", "-", "conflict")) if self.fails else Ok(None)
+
+
+async def call(role: Any, method: str, name: str, zones: frozenset[str] = ZONES) -> int:
+    """Send a call; return the status."""
+    request = Request(method, f"/v1/evacuations/{name}", b"", lambda: True)
+    return (await answer_controller(role, request, zones)).status
+
+
+# Guards against commands with the opposite effect, and against names that are compared
+# in the form in which they stand in the path.
+@pytest.mark.parametrize(
+    ("path", "name"),
+    [
+        ("north", "north"),
+        ("n%6Frth", "north"),
+        ("south%20east", "south east"),
+        ("s%C3%BCd%2F1", "süd/1"),
+    ],
+)
+@pytest.mark.parametrize(("method", "active"), [("POST", True), ("DELETE", False)])
+async def test_command_reaches_the_controller(
+    method: str, active: bool, path: str, name: str
+) -> None:
+    role = FakeController()
+    assert await call(role, method, path) == 200
+    assert role.commands == [(name, active)]
+    assert role.disconnected == [True]
+
+
+# Guards against commands for what is no data centre, which would be stored for good.
+@pytest.mark.parametrize(
+    "path", ["", "/", "west", "NORTH", "north/", "%", "%FF", "%00", "north%00", "a?b"]
+)
+@pytest.mark.parametrize("method", ["POST", "DELETE", "GET"])
+async def test_unknown_data_centre_is_not_found(method: str, path: str) -> None:
+    role = FakeController()
+    assert await call(role, method, path) == 404
+    assert role.commands == []
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT", "PATCH", "HEAD", "post"])
+async def test_other_methods_are_not_allowed(method: str) -> None:
+    role = FakeController()
+    assert await call(role, method, "north") == 405
+    assert role.commands == []
+
+
+# Guards against a command without an effect that is answered as done.
+@pytest.mark.parametrize("method", ["POST", "DELETE"])
+async def test_failure_is_answered_with_503(method: str) -> None:
+    assert await call(FakeController(fails=True), method, "north") == 503
+
+
+# Guards against evacuations in deployments that do not ask for them.
+@pytest.mark.parametrize(
+    ("bounds", "zones"), [("", ()), ("evacuate_ms = 5000", ("north", "south"))]
+)
+async def test_calls_are_served_only_with_a_bound(
+    tmp_path: Path, bounds: str, zones: tuple[str, ...]
+) -> None:
+    text = ROLES_TEXT.replace("@bounds@", bounds).replace("@contracts@", "")
+    settings = load_settings(write(tmp_path, text)).unwrap()
+    evacuable = list_evacuable(settings)
+    assert evacuable == set(zones)
+    assert make_controller_settings(settings).evacuations == bool(zones)
+    assert make_balancer_settings(settings).evacuations == bool(zones)
+    assert make_agent_settings(settings).evacuations == bool(zones)
+    status = 200 if zones else 404
+    assert await call(FakeController(), "POST", "north", evacuable) == status
+
+
+# Guards against limits and rules of new deployments that take effect elsewhere.
+def test_agent_settings_of_deployments(tmp_path: Path) -> None:
+    def load(bounds: str, contracts: str) -> tuple[object, ...]:
+        text = ROLES_TEXT.replace("@bounds@", bounds)
+        path = write(tmp_path, text.replace("@contracts@", contracts))
+        agent = make_agent_settings(load_settings(path).unwrap())
+        return agent.places, agent.cold_overshoot, agent.cold_slack
+
+    assert load("", "") == (False, None, None)
+    assert load("", 'contracts = ["flows"]') == (False, None, None)
+    bounds = "cold_overshoot = 1.5\ncold_slack = 5"
+    assert load(bounds, 'contracts = ["flows", "places"]') == (True, 1.5, 5.0)
