cli: evacuate, restore, and evacuations in the status

Cause: operators of the product's own deployments need evacuations, too. Change: put_evacuation is a kind that operators may submit; lentilfork evacuate and restore with the options of other changes, refused for a data centre without a member; status lists the evacuated data centres, also as JSON.

--- a/src/lentilfork/adapters/operators.py
+++ b/src/lentilfork/adapters/operators.py
@@ -46,6 +46,7 @@
         "remove_preset",
         "use_preset",
         "put_controllers",
+        "put_evacuation",
     )
 )
 
--- a/src/lentilfork/cli/application.py
+++ b/src/lentilfork/cli/application.py
@@ -10,6 +10,8 @@
 
 from lentilfork import VERSION
 from lentilfork.cli.command import CONNECTION_OPTIONS
+from lentilfork.cli.evacuations import Evacuate
+from lentilfork.cli.evacuations import Restore
 from lentilfork.cli.presets import PresetApply
 from lentilfork.cli.presets import PresetList
 from lentilfork.cli.presets import PresetRemove
@@ -30,12 +32,14 @@
 
 COMMANDS: Final[tuple[type[Command], ...]] = (
     DumpView,
+    Evacuate,
     HistoryView,
     MembersView,
     PresetApply,
     PresetList,
     PresetRemove,
     PresetUse,
+    Restore,
     ServiceApply,
     ServiceList,
     ServiceRemove,
@@ -52,6 +56,7 @@
   lentilfork --controllers 10.0.0.1:7000,10.0.0.2:7000 status
   lentilfork service apply warnings.json --wait 10
   lentilfork preset use peak --wait 10
+  lentilfork evacuate recife --wait 10
 
 Exit codes:
   0 done
--- a/src/lentilfork/cli/client.py
+++ b/src/lentilfork/cli/client.py
@@ -191,12 +191,20 @@
         status = await self.get_status()
         if isinstance(status, Err):
             return status
-        status_generation = status.ok_value.generation
+        return await self.get_state_at(status.ok_value.generation)
+
+    async def get_state_at(
+        self, generation: int
+    ) -> Result[state_pb2.Snapshot, Failure]:
+        """Return the agreed state of a controller that has reached a generation.
+
+        If all are behind, return the first state received.
+        """
         request = admin_pb2.GetStateRequest()
         return await self.read(
             "get state",
             lambda stub: stub.GetState(request, timeout=ATTEMPT_TIMEOUT_S),
-            lambda state: state.generation >= status_generation,
+            lambda state: state.generation >= generation,
         )
 
     async def get_history(
--- a/src/lentilfork/cli/views.py
+++ b/src/lentilfork/cli/views.py
@@ -16,6 +16,7 @@
 from lentilfork.cli.command import JSON_OPTION
 from lentilfork.cli.command import ClientCommand
 from lentilfork.cli.command import parse_number
+from lentilfork.cli.evacuations import list_evacuated
 from lentilfork.cli.output import format_json
 from lentilfork.cli.output import format_table
 from lentilfork.cli.output import format_time
@@ -59,7 +60,9 @@
     """Show the status of the system."""
 
     name = "status"
-    description = "Show the generation, leader, preset and lagging members."
+    description = (
+        "Show the generation, leader, preset, evacuations and lagging members."
+    )
     options: ClassVar[list[Option]] = [JSON_OPTION]
     help = """
 Examples:
@@ -72,10 +75,15 @@
         status = await client.get_status()
         if isinstance(status, Err):
             return status
+        state = await client.get_state_at(status.ok_value.generation)
+        evacuated = list_evacuated(state.ok_value) if isinstance(state, Ok) else None
         if self.option("json"):
-            self.print(format_json(to_values(status.ok_value)))
-        else:
-            self.print(describe_status(status.ok_value))
+            values = to_values(status.ok_value) | {"evacuated": evacuated}
+            self.print(format_json(values))
+            return Ok(None)
+        self.print(describe_status(status.ok_value))
+        if evacuated:
+            self.print(f"evacuated: {', '.join(evacuated)}")
         return Ok(None)
 
 
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -433,3 +433,76 @@
     result = await wait_for_command(process)
     assert result.code == ExitCode.UNKNOWN
     assert "resend it with --change-id change-2" in result.errors
+
+
+def make_state(generation: int, *evacuated: str) -> state_pb2.Snapshot:
+    """Return a state with agents in two data centres."""
+    return state_pb2.Snapshot(
+        generation=generation,
+        agents=[
+            state_pb2.Agent(name=f"agent-{name}", data_centre=name)
+            for name in ("recife", "olinda")
+        ],
+        evacuations=[
+            state_pb2.Evacuation(data_centre="olinda", version=2),
+            *(
+                state_pb2.Evacuation(data_centre=name, active=True, version=3)
+                for name in evacuated
+            ),
+        ],
+    )
+
+
+# Guards against an operator who evacuates when the data centre should return, and
+# against a command that ends before the members have applied it.
+@pytest.mark.parametrize(
+    ("command", "active"), [("evacuate", True), ("restore", False)]
+)
+async def test_evacuation_is_submitted_and_waited_for(
+    controllers: list[StandInController], command: str, active: bool
+) -> None:
+    controllers[0].state = make_state(11)
+    controllers[0].replies = [make_accepted(12)]
+    controllers[0].statuses = [
+        make_status(11, a1=("live", 11)),
+        make_status(12, a1=("live", 11)),
+        make_status(12, a1=("live", 12)),
+    ]
+    result = await run_command(
+        *(command, "recife", "--operator", "ama", "--wait", "10", "--json"),
+        *("--controllers", join_addresses(controllers[:1])),
+    )
+    assert result.code == ExitCode.OK, result.errors
+    assert json.loads(result.output)["generation"] == 12
+    assert "waiting for a1" in result.errors
+    (change,) = controllers[0].changes
+    assert change.put_evacuation.data_centre == "recife"
+    assert change.put_evacuation.active == active
+
+
+# Guards against a misspelt name, whose evacuation would be accepted without an effect.
+async def test_evacuation_of_an_unknown_data_centre_is_not_sent(
+    controllers: list[StandInController],
+) -> None:
+    controllers[0].state = make_state(11)
+    result = await run_command(
+        *("evacuate", "recif", "--controllers", controllers[0].address)
+    )
+    assert result.code == ExitCode.REFUSED
+    assert "there are olinda, recife" in result.errors
+    assert controllers[0].changes == []
+
+
+# Guards against an evacuation that is forgotten because no view shows it.
+async def test_status_shows_evacuated_data_centres(
+    controllers: list[StandInController],
+) -> None:
+    controllers[0].statuses = [make_status(12)]
+    arguments = ("status", "--controllers", controllers[0].address)
+    plain = await run_command(*arguments)
+    assert "evacuated" not in plain.output
+    controllers[0].state = make_state(12, "recife")
+    shown = await run_command(*arguments)
+    assert shown.output == f"{plain.output}evacuated: recife\n"
+    values = json.loads((await run_command(*arguments, "--json")).output)
+    assert values["evacuated"] == ["recife"]
--- a/tests/cli/test_real_controllers.py
+++ b/tests/cli/test_real_controllers.py
@@ -109,3 +109,19 @@
         process.start()
     accepted = await run(deployment, *use, "--timeout", WAIT_S, "--wait", WAIT_S)
     assert accepted.code == ExitCode.OK, accepted.errors
+
+
+# Guards against members that cannot read the delta of an evacuation, and against a
+# command that only the leader's build supports.
+async def test_data_centre_is_evacuated_and_restored(deployment: Deployment) -> None:
+    members = json.loads((await run(deployment, "members", "--json")).output)
+    name = next(item["data_centre"] for item in members if item["role"] == "agent")
+    for number, (command, shown) in enumerate(
+        (("evacuate", [name]), ("restore", []), ("evacuate", [name]))
+    ):
+        changed = await run(deployment, command, name, "--wait", WAIT_S, first=number)
+        assert changed.code == ExitCode.OK, changed.errors
+        status = await run(deployment, "status", "--json", first=number)
+        assert json.loads(status.output)["evacuated"] == shown
+    history = await run(deployment, "history")
+    assert f"end evacuation/{name}" in history.output
