--- a/src/lentilfork/forwarding/evacuation_progress.py
+++ b/src/lentilfork/forwarding/evacuation_progress.py
@@ -10,7 +10,10 @@
 # A member announces itself several times a second; a silent one no longer counts after
 # this time, as with its subscription.
 MEMBER_TIMEOUT_S: Final = 3.0
-# Names of members in a dump.
+# Members that have not applied a change after this time are logged. Deployments require
+# that no new flow reaches an evacuated data centre after 5 s.
+LATE_S: Final = 3.0
+# Names of members in a dump or a log line.
 MAXIMUM_NAMES: Final = 20
 
 log = Logger("evacuations")
@@ -27,6 +30,8 @@
     changed_at: float
     # Whether all members had applied the version.
     is_applied: bool
+    # Whether the members that were late with the version were logged.
+    is_reported: bool
     # Version that each member announced last, and when.
     members: dict[str, tuple[int, float]]
     counters: Counters
@@ -36,6 +41,7 @@
         self.evacuated = ()
         self.changed_at = 0.0
         self.is_applied = True
+        self.is_reported = False
         self.members = {}
         self.counters = counters
 
@@ -47,13 +53,19 @@
         self.evacuated = evacuated
         self.changed_at = now
         self.is_applied = False
-        log.info("evacuations changed", version=version, evacuated=list(evacuated))
+        self.is_reported = False
+        log.info("evacuations changed", version=version, evacuated=", ".join(evacuated))
         return True
 
     def record(self, member: str, version: int, now: float) -> None:
         """Store the version that a member announces."""
         self.members[member] = (version, now)
-        if self.is_applied or version < self.version or self.lowest < self.version:
+        if version >= self.version:
+            self.check_applied(now)
+
+    def check_applied(self, now: float) -> None:
+        """Log once that all members have applied the version."""
+        if self.is_applied or not self.members or self.lowest < self.version:
             return
         self.is_applied = True
         took_s = now - self.changed_at
@@ -66,7 +78,7 @@
         )
 
     def expire(self, now: float) -> None:
-        """Forget members that have not announced themselves for a while."""
+        """Forget members that are silent for a while, and log those that are late."""
         silent = [
             name
             for name, (_, heard_at) in self.members.items()
@@ -74,6 +86,27 @@
         ]
         for name in silent:
             del self.members[name]
+        self.check_applied(now)
+        if self.is_applied or self.is_reported or now - self.changed_at < LATE_S:
+            return
+        names = self.list_lagging()
+        if not names:
+            return
+        self.is_reported = True
+        log.warning(
+            "evacuations not applied by all members",
+            version=self.version,
+            lagging=len(names),
+            names=", ".join(names[:MAXIMUM_NAMES]),
+        )
+
+    def list_lagging(self) -> list[str]:
+        """Return the members that announce an older version, sorted."""
+        return sorted(
+            name
+            for name, (version, _) in self.members.items()
+            if version < self.version
+        )
 
     @property
     def lowest(self) -> int:
@@ -83,11 +116,7 @@
 
     def dump(self) -> dict[str, object]:
         """Return the progress as JSON values."""
-        lagging = sorted(
-            name
-            for name, (version, _) in self.members.items()
-            if version < self.version
-        )
+        lagging = self.list_lagging()
         return {
             "version": self.version,
             "evacuated": list(self.evacuated),
--- a/tests/forwarding/test_roster.py
+++ b/tests/forwarding/test_roster.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from math import ceil
 
+import logbook
 import pytest
 
 from lentilfork.counters import Counters
@@ -521,3 +522,29 @@
     network.now += 10
     network.servers[0].expire_members(network.now)
     assert evacuations.members == {}
+
+
+# Guards against a late member that no log line names, and against one that has gone and
+# keeps the change from counting as applied.
+def test_members_that_are_late_with_an_evacuation_are_logged() -> None:
+    network = FakeNetwork()
+    collect_updates(network)
+    server = network.servers[0]
+    subscribe(network, "balancer-1")
+    subscribe(network, "balancer-2")
+    server.evacuations.update(7, ("north",), network.now)
+    with logbook.TestHandler() as handler:
+        for _ in range(20):
+            network.now += 0.2
+            subscribe(network, "balancer-1", 7)
+            subscribe(network, "balancer-2", 0)
+            server.expire_members(network.now)
+        late = [line for line in handler.records if "not applied" in line.message]
+        assert len(late) == 1
+        assert late[0].kwargs == {"version": 7, "lagging": 1, "names": "balancer-2"}
+        for _ in range(20):
+            network.now += 0.2
+            subscribe(network, "balancer-1", 7)
+            server.expire_members(network.now)
+        assert any("applied by all" in line.message for line in handler.records)
+    assert server.evacuations.is_applied
--- a/tests/platform/test_evacuations.py
+++ b/tests/platform/test_evacuations.py
@@ -1,6 +1,10 @@
 """The calls by which operators evacuate a data centre of the platform."""
 
+import asyncio
+import time
+from collections.abc import AsyncIterator
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -11,12 +15,16 @@
 
 from lentilfork.errors import Failure
 from lentilfork.http_server import Request
+from lentilfork.http_server import serve_http
 from lentilfork.platform.calls import answer_controller
 from lentilfork.platform.settings import list_evacuable
 from lentilfork.platform.settings import load_settings
 from lentilfork.platform.settings import make_agent_settings
 from lentilfork.platform.settings import make_balancer_settings
 from lentilfork.platform.settings import make_controller_settings
+from tests.forwarding.test_controllers import HOSTS
+from tests.forwarding.test_controllers import Controllers
+from tests.forwarding.test_controllers import wait_until
 from tests.platform.test_settings import SETTINGS_TEXT
 from tests.platform.test_settings import write
 
@@ -126,3 +134,71 @@
     assert load("", 'contracts = ["flows"]') == (False, None, None)
     bounds = "cold_overshoot = 1.5\ncold_slack = 5"
     assert load(bounds, 'contracts = ["flows", "places"]') == (True, 1.5, 5.0)
+
+
+@pytest.fixture
+async def group(tmp_path: Path) -> AsyncIterator[Controllers]:
+    """Yield three controllers that have created a history."""
+    group = Controllers(tmp_path)
+    for host in HOSTS:
+        await group.start(host, first=True)
+    await wait_until(lambda: group.put(HOSTS[0], 1))
+    yield group
+    for host in HOSTS:
+        await group.stop(host)
+
+
+async def exchange(address: tuple[str, int], method: str, *, wait: bool) -> bytes:
+    """Send a call over HTTP; return the head of the answer, or close at once."""
+    reader, writer = await asyncio.open_connection(*address)
+    head = f"{method} /v1/evacuations/north HTTP/1.1\r\nHost: a\r\n\r\n"
+    writer.write(head.encode())
+    try:
+        return await reader.readline() if wait else b""
+    finally:
+        writer.close()
+
+
+# Guards against a call that is carried out although its operator has gone: it was held
+# up on the way to one controller, and another one has acknowledged its twin.
+async def test_call_of_an_operator_who_has_gone_has_no_effect(
+    group: Controllers,
+) -> None:
+    servers = []
+    for role in group.roles.values():
+        handler = partial(answer_controller, role, evacuable=ZONES)
+        servers.append(await serve_http(("127.0.0.1", 0), handler))
+    first, second, third = (server.sockets[0].getsockname() for server in servers)
+
+    async def evacuate() -> bool:
+        return b" 200 " in await exchange(first, "POST", wait=True)
+
+    await wait_until(evacuate)
+    assert b" 200 " in await exchange(second, "DELETE", wait=True)
+    role = group.roles[HOSTS[2]]
+    await exchange(third, "POST", wait=False)
+
+    async def is_dropped() -> bool:
+        return role.counters.get("evacuation_commands", "disconnected") == 1
+
+    await wait_until(is_dropped)
+    assert b" 200 " in await exchange(third, "DELETE", wait=True)
+    assert role.replica.state.cluster.evacuated == ()
+    for server in servers:
+        server.close()
+
+
+# Guards against a call that waited in the buffer of a suspended controller.
+async def test_call_after_a_pause_has_no_effect(group: Controllers) -> None:
+    role = group.roles[HOSTS[0]]
+    handler = partial(answer_controller, role, evacuable=ZONES)
+    server = await serve_http(("127.0.0.1", 0), handler)
+    address = server.sockets[0].getsockname()
+    call_task = asyncio.create_task(exchange(address, "POST", wait=True))
+    # The call arrives while the event loop does not run.
+    await asyncio.sleep(0)
+    time.sleep(0.6)  # noqa: ASYNC251
+    assert b" 503 " in await call_task
+    assert role.counters.get("evacuation_commands", "paused") == 1
+    assert role.replica.state.cluster.evacuation_version == 0
+    server.close()
