tests: commands to evacuate under lost messages, partitions and restarts

Cause: only single delays were tested. Change: a sequence of 15 commands with changing faults for each of six seeds; after each acknowledgement the newest leader must keep the state until the next command.

--- a/tests/forwarding/test_evacuation_orders.py
+++ b/tests/forwarding/test_evacuation_orders.py
@@ -61,6 +61,22 @@
         task = self.start(name, active, data_centre=data_centre)
         return self.fleet.loop.run_until_complete(task)
 
+    def disturb(self) -> None:
+        """Change one of the faults: lost messages, a partition, a restart."""
+        fleet = self.fleet
+        fleet.network.heal()
+        match fleet.rng.randrange(4):
+            case 0:
+                fleet.network.loss_rate = 0.2
+            case 1:
+                name = fleet.rng.choice(fleet.names)
+                fleet.network.isolate(fleet.addresses[name])
+            case 2:
+                name = fleet.get_leader().core.name
+                fleet.crash(name)
+                fleet.start(name)
+                self.prepare(name)
+
     def insist(self, active: bool) -> float:
         """Send a command to one controller after the other until it is acknowledged.
 
@@ -311,3 +327,31 @@
     started_s = operators.fleet.loop.time()
     assert not operators.send(operators.fleet.names[3], True)
     assert operators.get_age(started_s) < ATTEMPT_S + PROPOSE_TIMEOUT_S
+
+
+# Guards against an acknowledged command that an earlier one undoes, whichever faults
+# delayed it: the attempts that were not answered are still under way.
+@pytest.mark.parametrize("seed", range(6))
+def test_acknowledged_command_holds_until_the_next_one(
+    operators: Operators, seed: int
+) -> None:
+    rng = operators.fleet.rng
+    rng.seed(seed)
+    for _ in range(15):
+        operators.disturb()
+        active = rng.random() < 0.5
+        # There is no stable leader during some of the faults.
+        disturbed_s = operators.fleet.loop.time()
+        while not operators.attempt(active):
+            if operators.get_age(disturbed_s) > ACK_S:
+                operators.fleet.network.heal()
+        for _ in range(3):
+            operators.fleet.run(rng.random())
+            leaders = operators.fleet.get_leaders()
+            replicas = (operators.fleet.replicas[name] for name in leaders)
+            newest = max(
+                replicas, key=lambda replica: replica.core.applied_index, default=None
+            )
+            expected = ("north",) if active else ()
+            assert newest is None or newest.state.cluster.evacuated == expected
+    operators.fleet.network.heal()
