--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -15,6 +15,7 @@
 from lentilfork.bench.addresses import AddressBlock
 from lentilfork.counters import Counters
 from lentilfork.errors import ExitCode
+from lentilfork.forwarding.running import serve_metrics
 from lentilfork.http_server import Response
 from lentilfork.platform import main
 
@@ -115,7 +116,7 @@
     try:
         host, port = split_address(block.allocate_address(9466))
         role: Any = ExplainingRole()
-        await main.serve_metrics(role, (host, port))
+        await serve_metrics(role, (host, port))
         replies = {}
         for path in ("/explain-placement?caller=a", "/metrics"):
             reader, writer = await asyncio.open_connection(host, port)
