forwarding: assume the service time that other agents measured

An agent without samples assumed 20 ms, whatever its service takes. It now takes the median of the measured times of the agents it watches, also after a restart. It still reports 20 ms until it has a sample of its own, by which other agents (and those of older builds) recognise an assumed value; they use their own median instead.

--- a/src/lentilfork/forwarding/agent.py
+++ b/src/lentilfork/forwarding/agent.py
@@ -22,6 +22,7 @@
 from lentilfork.forwarding.failures import FailureRate
 from lentilfork.forwarding.flows import FlowTable
 from lentilfork.forwarding.load_exchange import LoadExchange
+from lentilfork.forwarding.loads import ASSUMED_SERVICE_TIME_US
 from lentilfork.forwarding.loads import FULL_PERCENT
 from lentilfork.forwarding.loads import US_PER_S
 from lentilfork.forwarding.loads import LoadTable
@@ -177,6 +178,11 @@
             self.counters.add("datagrams_dropped", "malformed")
             return
         self.loads.record_report(report, now)
+        if self.flows.samples == 0:
+            peers = self.roster.list_agents(self.delivery.service)
+            self.flows.service_time_s = self.loads.get_median_service_time_s(
+                {agent.name for agent in peers}
+            )
 
     def handle_announcement(
         self, announcement: ServerAnnouncement, now: float, age_s: float = 0.0
@@ -273,7 +279,11 @@
             incarnation=self.record.incarnation,
             outstanding=self.flows.outstanding,
             slots=self.flows.slots,
-            service_time_us=round(self.flows.service_time_s * US_PER_S),
+            service_time_us=(
+                round(self.flows.service_time_s * US_PER_S)
+                if self.flows.samples
+                else ASSUMED_SERVICE_TIME_US
+            ),
             accepting=self.record.accepting,
             slow_percent=self.server.get_slow_percent(now),
             failed_percent=round(self.delivery.failures.get_share(now) * FULL_PERCENT),
--- a/src/lentilfork/forwarding/loads.py
+++ b/src/lentilfork/forwarding/loads.py
@@ -6,19 +6,30 @@
 offer unanswered, get no new flows for a while.
 """
 
+from collections.abc import Container
 from dataclasses import dataclass
+from statistics import median
 from typing import Final
 
 from lentilfork.forwarding.flows import DEFAULT_SERVICE_TIME_S
 from lentilfork.forwarding.flows import estimate_answer_s
 from lentilfork.schema import roster_pb2
 
-__all__ = ["FULL_PERCENT", "US_PER_S", "LoadTable", "PeerLoad"]
+__all__ = [
+    "ASSUMED_SERVICE_TIME_US",
+    "FULL_PERCENT",
+    "US_PER_S",
+    "LoadTable",
+    "PeerLoad",
+]
 
 US_PER_S: Final = 1_000_000
 FULL_PERCENT: Final = 100
 # Reports are sent at least every 0.25 s, so two of them may get lost.
 REPORT_TIMEOUT_S: Final = 0.7
+# Reported by agents whose server has answered no request yet. A measured moving average
+# is hardly ever equal to it, and then just once.
+ASSUMED_SERVICE_TIME_US: Final = round(DEFAULT_SERVICE_TIME_S * US_PER_S)
 # Time for which an agent that left an offer unanswered gets no new flows, for each
 # unanswered offer in a row.
 AVOID_S: Final = 0.4
@@ -34,6 +45,8 @@
     outstanding: int = 0
     slots: int = 1
     service_time_s: float = DEFAULT_SERVICE_TIME_S
+    # Whether the service time was measured, not assumed.
+    measured: bool = False
     accepting: bool = True
     # Factor on the service time while the backend server warms up.
     slowdown_factor: float = 1.0
@@ -104,13 +117,30 @@
         load.incarnation, load.sequence = version
         load.outstanding = report.outstanding
         load.slots = max(report.slots, 1)
-        load.service_time_s = report.service_time_us / US_PER_S
+        load.measured = report.service_time_us != ASSUMED_SERVICE_TIME_US
+        load.service_time_s = (
+            report.service_time_us / US_PER_S
+            if load.measured
+            else self.get_median_service_time_s(self.loads)
+        )
         load.accepting = report.accepting
         load.slowdown_factor = 1 + report.slow_percent / FULL_PERCENT
         load.failed_share = report.failed_percent / FULL_PERCENT
         load.last_report_at = now
         load.placed = 0
 
+    def get_median_service_time_s(self, agents: Container[str]) -> float:
+        """Return the median of the service times measured by some agents.
+
+        The default if none of them has measured one.
+        """
+        measured = [
+            load.service_time_s
+            for name, load in self.loads.items()
+            if load.measured and name in agents
+        ]
+        return median(measured) if measured else DEFAULT_SERVICE_TIME_S
+
     def is_usable(self, agent: str, now: float) -> bool:
         """Return whether an agent may get new flows by its reports and past offers."""
         load = self.get_or_create(agent)
