forwarding: report a service time from the fourth sample on

The assumed value has half of the weight in a first sample, and other agents without samples took it over.

--- a/src/lentilfork/forwarding/agent.py
+++ b/src/lentilfork/forwarding/agent.py
@@ -47,6 +47,9 @@
 # the timeouts of offers and of requests, so timers that start meanwhile are not missed.
 MINIMUM_TICK_S: Final = 0.001
 MAXIMUM_TICK_S: Final = 0.025
+# Samples from which on a service time is reported. In the mean of fewer, the assumed
+# value weighs a quarter or more, and other agents would assume it in turn.
+REPORTED_SAMPLES: Final = 4
 
 log = Logger("agent")
 
@@ -282,7 +285,7 @@
             slots=self.flows.slots,
             service_time_us=(
                 round(self.flows.service_time_s * US_PER_S)
-                if self.flows.samples
+                if self.flows.samples >= REPORTED_SAMPLES
                 else ASSUMED_SERVICE_TIME_US
             ),
             accepting=self.record.accepting,
--- a/src/lentilfork/forwarding/loads.py
+++ b/src/lentilfork/forwarding/loads.py
@@ -29,8 +29,8 @@
 FULL_PERMILLE: Final = 1_000
 # Reports are sent at least every 0.25 s, so two of them may get lost.
 REPORT_TIMEOUT_S: Final = 0.7
-# Reported by agents whose server has answered no request yet. A measured moving average
-# is hardly ever equal to it, and then just once.
+# Reported by agents whose server has answered hardly any request yet. A moving average
+# that was measured is hardly ever equal to it, and then just once.
 ASSUMED_SERVICE_TIME_US: Final = round(DEFAULT_SERVICE_TIME_S * US_PER_S)
 # Time for which an agent that left an offer unanswered gets no new flows, for each
 # unanswered offer in a row.
