scheduling: rank flows with long targets by caller, work and priority

Limits are now ranked, and refusals counted by priority and data centre. Shorter targets are decided as before.

--- a/src/lentilfork/forwarding/admission.py
+++ b/src/lentilfork/forwarding/admission.py
@@ -4,45 +4,66 @@
 the route's target. Callers may retry a refused flow immediately, and most of them do.
 """
 
-from typing import Final
-
 from lentilfork.forwarding.envelopes import Envelope
+from lentilfork.forwarding.packets import FlowPacket
 from lentilfork.forwarding.placement import Choice
+from lentilfork.scheduling.service_times import ServiceTimes
+from lentilfork.scheduling.shedding import MS_PER_S
+from lentilfork.scheduling.shedding import ORDINARY
+from lentilfork.scheduling.shedding import RANKED_TARGET_MS
+from lentilfork.scheduling.shedding import REFUSED_SHARE_SMOOTHING
+from lentilfork.scheduling.shedding import CallerShares
+from lentilfork.scheduling.shedding import Claim
+from lentilfork.scheduling.shedding import RefusedShares
+from lentilfork.scheduling.shedding import get_limit_ms
+from lentilfork.scheduling.shedding import is_in_time
 
 __all__ = ["MS_PER_S", "Admission"]
 
-MS_PER_S: Final = 1_000
-# Share of a route's target that queueing and service may take. The rest covers the
-# network and delays that the estimate does not include.
-ADMITTED_SHARE: Final = 0.7
-PRIORITY_STEP: Final = 0.1
-MINIMUM_ADMITTED_SHARE: Final = 0.4
-REFUSED_SHARE_WEIGHT: Final = 0.6
-# Weight of one flow in the moving average `refused_share`, which thus covers about
-# fifty flows.
-REFUSED_SHARE_SMOOTHING: Final = 0.02
-
 
 class Admission:
     """Decides which new flows an owner admits."""
 
-    # Moving average of the share of new flows that were refused.
+    # Moving average of the share of new flows that were refused, without those that are
+    # ranked.
     refused_share: float
+    # The same of ranked flows, by priority.
+    refused: RefusedShares
+    callers: CallerShares
+    # Service times of this agent's server, which is like the others of its service.
+    times: ServiceTimes
 
     def __init__(self) -> None:
         self.refused_share = 0.0
+        self.refused = RefusedShares()
+        self.callers = CallerShares()
+        self.times = ServiceTimes()
+
+    def examine(self, envelope: Envelope, packet: FlowPacket, now: float) -> Claim:
+        """Return what is known of a new flow, and count it for its caller."""
+        if envelope.target_ms < RANKED_TARGET_MS:
+            return ORDINARY
+        heavy = self.callers.record(packet.source, now)
+        route = packet.destination, packet.destination_port
+        return Claim(heavy, self.times.get_relative_work(route))
+
+    def is_in_time(
+        self, envelope: Envelope, choice: Choice, claim: Claim = ORDINARY
+    ) -> bool:
+        """Return whether an answer is expected within the limit or a slot is free."""
+        limit_ms = self.get_limit_ms(envelope, claim)
+        return is_in_time(
+            choice.expected_s, limit_ms, has_free_slot=choice.has_free_slot
+        )
 
-    def is_in_time(self, envelope: Envelope, choice: Choice) -> bool:
-        """Return whether an answer is expected within the limit or a slot is free.
-
-        A free slot is always used: a late answer is better than none.
-        """
-        expected_ms = choice.expected_s * MS_PER_S
-        return choice.has_free_slot or expected_ms <= self.get_limit_ms(envelope)
-
-    def admit(self, envelope: Envelope, choice: Choice) -> bool:
+    def admit(
+        self, envelope: Envelope, choice: Choice, claim: Claim = ORDINARY
+    ) -> bool:
         """Return whether a new flow is admitted, and update `refused_share`."""
-        refused = not self.is_in_time(envelope, choice)
+        refused = not self.is_in_time(envelope, choice, claim)
+        if envelope.target_ms >= RANKED_TARGET_MS:
+            self.refused.record(envelope.priority, claim, refused=refused)
+            return not refused
         self.refused_share += REFUSED_SHARE_SMOOTHING * (refused - self.refused_share)
         return not refused
 
@@ -56,18 +77,15 @@
         limit_ms = envelope.target_ms or envelope.deadline_ms
         return choice.has_free_slot or expected_ms <= limit_ms
 
-    def get_limit_ms(self, envelope: Envelope) -> float:
-        """Return the longest expected time to an answer with which a flow is admitted.
-
-        A request that would miss its target also delays the requests behind it, so with
-        a queue longer than the target no request is answered in time. Less urgent flows
-        (those with a higher `priority` number) have a lower limit, which leaves the
-        rest of the queue to the urgent ones. The limit also falls as `refused_share`
-        rises: the queue never runs empty then, and a long one only makes answers late.
-        """
-        share = max(
-            ADMITTED_SHARE - PRIORITY_STEP * envelope.priority, MINIMUM_ADMITTED_SHARE
+    def get_limit_ms(self, envelope: Envelope, claim: Claim = ORDINARY) -> float:
+        """Return the longest expected time to an answer with which it is admitted."""
+        refused_share = self.refused_share
+        if envelope.target_ms >= RANKED_TARGET_MS:
+            refused_share = self.refused.get(envelope.priority)
+        return get_limit_ms(
+            envelope.target_ms,
+            envelope.deadline_ms,
+            envelope.priority,
+            refused_share,
+            claim,
         )
-        share *= 1 - REFUSED_SHARE_WEIGHT * self.refused_share
-        limit_ms = envelope.target_ms * share
-        return min(limit_ms, envelope.deadline_ms) if limit_ms else envelope.deadline_ms
--- a/src/lentilfork/forwarding/agent.py
+++ b/src/lentilfork/forwarding/agent.py
@@ -102,6 +102,7 @@
             self.decisions,
             self.idle_timeout_s,
         )
+        self.owner.admission.times = self.flows.times
         self.delivery = FlowDelivery(
             record.name,
             hash_name(record.service),
--- a/src/lentilfork/forwarding/ownership.py
+++ b/src/lentilfork/forwarding/ownership.py
@@ -32,6 +32,7 @@
 from lentilfork.forwarding.placement import choose_agent
 from lentilfork.forwarding.roster import AgentRecord
 from lentilfork.forwarding.roster import Roster
+from lentilfork.scheduling.shedding import Reason
 
 __all__ = ["OFFER_TIMEOUT_S", "FlowOwner", "Offer"]
 
@@ -218,19 +219,20 @@
             # The balancer knows this agent, but no roster has arrived here yet.
             self.deliver(envelope, packet, now)
             return
+        claim = self.admission.examine(envelope, packet, now)
         choice = self.choose_target(envelope, key, [], now)
         if choice.agent is None:
             self.refuse_offer(envelope, packet, "no agent takes new flows")
             return
-        if not self.admission.is_in_time(envelope, choice):
+        if not self.admission.is_in_time(envelope, choice, claim):
             choice = self.choose_target(envelope, key, [], now, all_agents=True)
-        if choice.agent is None or not self.admission.admit(envelope, choice):
+        if choice.agent is None or not self.admission.admit(envelope, choice, claim):
             self.refuse_offer(
                 envelope,
                 packet,
-                "answer expected too late",
+                Reason.HEAVY_CALLER if claim.heavy_caller else Reason.LATE,
                 expected_ms=round(choice.expected_s * MS_PER_S),
-                limit_ms=round(self.admission.get_limit_ms(envelope)),
+                limit_ms=round(self.admission.get_limit_ms(envelope, claim)),
                 priority=envelope.priority,
             )
             return
@@ -284,8 +286,16 @@
         if envelope.repeated:
             self.counters.add("packets_dropped", "repeated_offer")
             return
+        if packet.acknowledgement == 0:
+            self.count_refusal(envelope)
         self.refuse(packet, reason, **inputs)
 
+    def count_refusal(self, envelope: Envelope) -> None:
+        """Count a refused flow by priority and by the data centre of its balancer."""
+        self.counters.add("flows_refused_by_priority", str(envelope.priority))
+        data_centre = self.roster.find_data_centre(envelope.ingress)
+        self.counters.add("flows_refused_by_data_centre", data_centre)
+
     def place_elsewhere(
         self, envelope: Envelope, packet: FlowPacket, now: float, reason: str
     ) -> None:
--- a/src/lentilfork/forwarding/roster.py
+++ b/src/lentilfork/forwarding/roster.py
@@ -115,6 +115,8 @@
     agents: dict[str, AgentRecord]
     # Agents of each service by its identifier, sorted by name.
     services: dict[int, list[AgentRecord]]
+    # Names of the agents' data centres by identifier.
+    data_centres: dict[int, str]
     # Ranked agents by service, data centre and bucket; cleared when the roster changes.
     ranked: dict[tuple[int, int, int], list[AgentRecord]]
     # Functions called after each change.
@@ -123,6 +125,7 @@
     def __init__(self) -> None:
         self.agents = {}
         self.services = {}
+        self.data_centres = {}
         self.ranked = {}
         self.listeners = []
 
@@ -130,6 +133,8 @@
         """Replace all agents by the given ones and call the listeners."""
         self.agents = {record.name: record for record in records}
         self.ranked.clear()
+        names = {record.data_centre for record in self.agents.values()}
+        self.data_centres = {hash_name(name): name for name in names}
         self.services = {}
         for record in sorted(self.agents.values(), key=lambda item: item.name):
             self.services.setdefault(hash_name(record.service), []).append(record)
@@ -140,6 +145,10 @@
         """Return the agents of a service, sorted by name."""
         return self.services.get(service, [])
 
+    def find_data_centre(self, ingress: int) -> str:
+        """Return the name of a data centre, "unknown" without agents there."""
+        return self.data_centres.get(ingress, "unknown")
+
     def rank_owners(self, service: int, ingress: int, key: bytes) -> list[AgentRecord]:
         """Return the agents of a service in the order in which they would own a flow.
 
--- a/src/lentilfork/scheduling/service_times.py
+++ b/src/lentilfork/scheduling/service_times.py
@@ -92,10 +92,13 @@
     routes: dict[tuple[int, int], RouteWork]
     # Whether the requests of some routes take far longer than those of others.
     mixed: bool
+    # Mean service time of all routes with samples, each weighted by its requests.
+    mean_s: float
 
     def __init__(self) -> None:
         self.routes = {}
         self.mixed = False
+        self.mean_s = 0.0
 
     def get_or_create(self, address: int, port: int) -> RouteWork:
         """Return the averages of a route, in place of the oldest if there are many."""
@@ -110,12 +113,26 @@
         """Record the time that one request of a route took in its slot."""
         route.record_service_time(sample_s)
         if len(self.routes) > 1:
-            times = [
-                route.service_time_s
-                for route in self.routes.values()
-                if route.samples >= MINIMUM_SAMPLES
-            ]
-            self.mixed = bool(times) and max(times) >= MIXED_RATIO * min(times)
+            self.compare()
+
+    def compare(self) -> None:
+        """Compare the routes with enough samples."""
+        known = [
+            route for route in self.routes.values() if route.samples >= MINIMUM_SAMPLES
+        ]
+        times = [route.service_time_s for route in known]
+        self.mixed = bool(times) and max(times) >= MIXED_RATIO * min(times)
+        if self.mixed:
+            requests = sum(route.requests for route in known)
+            work_s = sum(route.service_time_s * route.requests for route in known)
+            self.mean_s = work_s / max(requests, 1.0)
+
+    def get_relative_work(self, route: tuple[int, int]) -> float:
+        """Return a route's service time in terms of the mean; 1 if unknown."""
+        known = self.routes.get(route) if self.mixed else None
+        if known is None or known.samples < MINIMUM_SAMPLES:
+            return 1.0
+        return known.service_time_s / self.mean_s
 
     def get_service_time_s(self, route: RouteWork, mean_s: float) -> float:
         """Return a route's service time, or the server's mean if it is not known."""
--- a/tests/forwarding/simulation.py
+++ b/tests/forwarding/simulation.py
@@ -45,6 +45,7 @@
 RETRANSMIT_S = 0.2
 SYN_BIT, ACK_BIT, RST_BIT, FIN_BIT, REJECTED_BIT = 4, 2, 8, 32, 16
 SERVER_QUEUE = 12
+REQUEST = b"request"
 FAILURE_RESPONSE = b"HTTP/1.1 500 Internal Server Error"
 CODEC = HeaderCodec()
 
@@ -104,6 +105,14 @@
     port: int
     sequence: int | None = None
     ended: bool = False
+    # Bytes of the requests and of the answers before the current request.
+    sent: int = 0
+    answered: int = 0
+
+    @property
+    def caller(self) -> tuple[int, int]:
+        """The caller's address and port."""
+        return self.request.address or self.port, self.port
 
 
 @dataclass
@@ -118,6 +127,14 @@
     tries: int = 0
     refused: int = 0
     runs: int = 0
+    # Address and port of its route.
+    route: tuple[int, int] = (ADDRESS, PORT)
+    # The caller's address; each attempt has its own if it is 0.
+    address: int = 0
+    # Seconds after its first attempt at which each refusal arrived.
+    refusals_s: list[float] = field(default_factory=list)
+    # Requests that follow on the same flow, each sent when the one before is answered.
+    following: list["Request"] = field(default_factory=list)
 
     @property
     def latency_s(self) -> float:
@@ -135,8 +152,8 @@
     speed: float
     slots: int
     flows: dict[tuple[int, int], int] = field(default_factory=dict)
-    # Ports of the flows whose request has arrived; later copies are not run.
-    received: set[int] = field(default_factory=set)
+    # Ports and sequence numbers of requests that arrived; later copies are not run.
+    received: set[tuple[int, int]] = field(default_factory=set)
     running: int = 0
     queue: list[Attempt] = field(default_factory=list)
     busy_s: float = 0.0
@@ -165,8 +182,11 @@
             self.send_packet(caller, SYN_BIT | ACK_BIT, sequence)
         elif caller not in self.flows:
             self.reject(data)
-        elif packet.payload_bytes and packet.source_port not in self.received:
-            self.received.add(packet.source_port)
+        elif (
+            packet.payload_bytes
+            and (packet.source_port, packet.sequence) not in self.received
+        ):
+            self.received.add((packet.source_port, packet.sequence))
             self.run_request(self.host.world.attempts[packet.source_port])
 
     def reject(self, data: bytes) -> None:
@@ -180,14 +200,16 @@
         self, caller: tuple[int, int], flags: int, sequence: int, payload: bytes = b""
     ) -> None:
         """Send a packet to a caller."""
-        data = make_packet((ADDRESS, PORT), caller, flags, sequence, 0, payload)
+        route = self.host.world.attempts[caller[1]].request.route
+        data = make_packet(route, caller, flags, sequence, 0, payload)
         self.host.call_later(lambda: self.host.receive_from_server(data))
 
     def send_answer(self, attempt: Attempt, payload: bytes) -> None:
         """Send an answer; the packet that ends the flow overtakes the payload."""
-        caller = (attempt.port, attempt.port)
-        sequence = self.flows.get(caller, 0) + 1
-        self.send_packet(caller, ACK_BIT | FIN_BIT, sequence + len(payload))
+        caller = attempt.caller
+        sequence = self.flows.get(caller, 0) + 1 + attempt.answered
+        if not attempt.request.following:
+            self.send_packet(caller, ACK_BIT | FIN_BIT, sequence + len(payload))
         self.send_packet(caller, ACK_BIT, sequence, payload)
 
     def run_request(self, attempt: Attempt) -> None:
@@ -319,7 +341,14 @@
 class World:
     """Simulated deployment in virtual time."""
 
-    def __init__(self, speeds: list[float], slots: int = 1, seed: int = 1) -> None:
+    def __init__(
+        self,
+        speeds: list[float],
+        slots: int = 1,
+        seed: int = 1,
+        routes: RouteIndex | None = None,
+    ) -> None:
+        self.routes = routes or make_routes(1, {SERVICE: 1})
         self.rng = random.Random(seed)
         self.clock = VirtualClock()
         self.hosts: dict[str, AgentHost] = {}
@@ -345,9 +374,9 @@
         self.clock.run(0.5)
 
     def make_balancer(self, data_centre: str) -> FlowBalancer:
-        """Return a balancer whose table has one route."""
+        """Return a balancer with the routes of this world."""
         balancer = FlowBalancer(CODEC, Roster(), data_centre, Counters(), DecisionLog())
-        balancer.routes = make_routes(1, {SERVICE: 1})
+        balancer.routes = self.routes
 
         def send(data: bytes, address: tuple[str, int]) -> None:
             self.send(data, (data_centre, 0), data_centre, address)
@@ -463,8 +492,8 @@
         """Send a SYN or a retransmission of it, unless the flow is open."""
         if attempt.ended or attempt.sequence is not None:
             return
-        caller = (attempt.port, attempt.port)
-        data = make_packet(caller, (ADDRESS, PORT), SYN_BIT, 7, retransmissions)
+        route = attempt.request.route
+        data = make_packet(attempt.caller, route, SYN_BIT, 7, retransmissions)
         self.send_from_caller(attempt.request.data_centre, data)
 
     def expire_syn(self, attempt: Attempt) -> None:
@@ -490,16 +519,31 @@
             attempt.ended = True
             self.clock.call_in(0.01, lambda: self.start_attempt(attempt.request))
         elif packet.payload_bytes:
-            attempt.ended = True
             attempt.request.answered_s = self.clock.now
+            if attempt.request.following:
+                self.continue_flow(attempt, packet.payload_bytes)
+                return
+            attempt.ended = True
             self.send_subsequent(attempt, ACK_BIT | FIN_BIT, b"")
 
+    def continue_flow(self, attempt: Attempt, answer_bytes: int) -> None:
+        """Send the next request on a flow."""
+        attempt.sent += len(REQUEST)
+        attempt.answered += answer_bytes
+        request = attempt.request.following.pop(0)
+        request.following = attempt.request.following
+        request.at_s, request.tries = self.clock.now, 1
+        attempt.request = request
+        self.requests.append(request)
+        self.send_request(attempt, RETRANSMIT_S)
+
     def handle_reset(self, attempt: Attempt) -> None:
         """Handle a reset: start the next attempt."""
         attempt.ended = True
         if attempt.sequence is not None:
             self.resets_of_open_flows += 1
         attempt.request.refused += 1
+        attempt.request.refusals_s.append(self.clock.now - attempt.request.at_s)
         self.clock.call_in(0.01, lambda: self.start_attempt(attempt.request))
 
     def send_request(self, attempt: Attempt, retry_after_s: float) -> None:
@@ -508,18 +552,25 @@
         if attempt.ended or self.clock.now > request.at_s + request.deadline_s:
             return
         if request.runs < request.tries:
-            self.send_subsequent(attempt, ACK_BIT, b"request")
+            self.send_subsequent(attempt, ACK_BIT, REQUEST)
             self.clock.call_in(
                 retry_after_s,
-                lambda: self.send_request(attempt, min(retry_after_s * 2, 1.6)),
+                lambda: (
+                    self.send_request(attempt, min(retry_after_s * 2, 1.6))
+                    if attempt.request is request
+                    else None
+                ),
             )
 
     def send_subsequent(self, attempt: Attempt, flags: int, payload: bytes) -> None:
         """Send a packet of an open flow."""
         assert attempt.sequence is not None
-        caller = (attempt.port, attempt.port)
-        acknowledgement = (attempt.sequence + 1) % (1 << 32)
-        data = make_packet(caller, (ADDRESS, PORT), flags, 8, acknowledgement, payload)
+        sequence = 8 + attempt.sent
+        acknowledgement = (attempt.sequence + 1 + attempt.answered) % (1 << 32)
+        route = attempt.request.route
+        data = make_packet(
+            attempt.caller, route, flags, sequence, acknowledgement, payload
+        )
         self.send_from_caller(attempt.request.data_centre, data)
 
     def add_load(
