--- a/src/lentilfork/forwarding/arrivals.py
+++ b/src/lentilfork/forwarding/arrivals.py
@@ -27,7 +27,8 @@
     start: int | None
     # Bytes of the request; None before its first packet has been measured.
     length: int | None
-    # Received ranges as first number and number after the last one, in order.
+    # Received ranges as first number and number after the last one, in order; none
+    # unless a part of the request is in transit.
     ranges: list[tuple[int, int]]
     # Whether the backend server has answered before the request was complete.
     answered: bool
@@ -41,11 +42,6 @@
         self.answered = False
         self.request_id = ""
 
-    @property
-    def in_transit(self) -> bool:
-        """Whether some of the request has arrived, but not all of it."""
-        return bool(self.ranges)
-
     def is_former(self, sequence: int) -> bool:
         """Return whether a packet belongs to a request before this one."""
         if self.start is None:
@@ -96,8 +92,13 @@
                 joined.append((begin, until))
         self.ranges = joined
 
-    def make_next(self) -> "RequestArrival":
-        """Return the arrival of the request that follows this one on its flow."""
+    def expect_next(self) -> None:
+        """Expect the request that follows this one on its flow."""
         if self.start is None or self.length is None:
-            return RequestArrival(None)
-        return RequestArrival((self.start + self.length) % SEQUENCE_MODULUS)
+            self.start = None
+        else:
+            self.start = (self.start + self.length) % SEQUENCE_MODULUS
+        self.length = None
+        self.ranges.clear()
+        self.answered = False
+        self.request_id = ""
--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -242,7 +242,7 @@
             or arrival.is_former(packet.sequence)
         ):
             return
-        if not arrival.in_transit:
+        if not arrival.ranges:
             flow.answer_sequence = packet.acknowledgement
         length = None
         if arrival.length is None:
@@ -253,7 +253,6 @@
         if not complete:
             self.flows.record_arriving_request(flow)
             return
-        flow.arrival = arrival.make_next()
         if not arrival.answered and self.flows.record_request(flow, now):
             self.decisions.write(
                 "handed over",
@@ -263,6 +262,7 @@
                 running=self.flows.running,
                 hops=envelope.hops,
             )
+        arrival.expect_next()
 
     def confirm_flow(self, flow: Flow, envelope: Envelope, now: float) -> None:
         """Notify the owner of a flow, which does not know that it is open here."""
@@ -351,7 +351,7 @@
         one that ends the flow, may overtake it.
         """
         arrival = flow.arrival
-        if arrival.in_transit and packet.payload_bytes:
+        if arrival.ranges and packet.payload_bytes:
             # Packets of the answer to the request before this one may still arrive.
             is_former = not is_within(packet.sequence, flow.answer_sequence)
             arrival.answered = arrival.answered or not is_former
