--- a/tests/forwarding/simulation.py
+++ b/tests/forwarding/simulation.py
@@ -172,7 +172,8 @@
         assert packet is not None
         caller = (packet.source, packet.source_port)
         if packet.is_opening:
-            full = len(self.queue) + self.running >= self.slots + SERVER_QUEUE
+            queue = self.host.world.server_queue
+            full = len(self.queue) + self.running >= self.slots + queue
             if full and caller not in self.flows:
                 self.reject(data)
                 return
@@ -347,7 +348,10 @@
         slots: int = 1,
         seed: int = 1,
         routes: RouteIndex | None = None,
+        server_queue: int = SERVER_QUEUE,
     ) -> None:
+        # Requests that a backend server queues before it rejects SYNs.
+        self.server_queue = server_queue
         self.routes = routes or make_routes(1, {SERVICE: 1})
         self.rng = random.Random(seed)
         self.clock = VirtualClock()
--- a/tests/scheduling/overload.py
+++ b/tests/scheduling/overload.py
@@ -16,6 +16,7 @@
 from lentilfork.schema import state_pb2
 from tests.forwarding.simulation import ADDRESS
 from tests.forwarding.simulation import DATA_CENTRES
+from tests.forwarding.simulation import SERVER_QUEUE
 from tests.forwarding.simulation import SERVICE
 from tests.forwarding.simulation import Request
 from tests.forwarding.simulation import World
@@ -75,10 +76,15 @@
 
 
 def make_world(
-    kinds: Iterable[Kind], speeds: Sequence[float] = SPEEDS, seed: int = 1
+    kinds: Iterable[Kind],
+    speeds: Sequence[float] = SPEEDS,
+    seed: int = 1,
+    server_queue: int = SERVER_QUEUE,
 ) -> World:
     """Return a world with a route for each type of request."""
-    return World(list(speeds), seed=seed, routes=index_kinds(kinds))
+    return World(
+        list(speeds), seed=seed, routes=index_kinds(kinds), server_queue=server_queue
+    )
 
 
 def get_capacity_per_s(kind: Kind, speeds: Sequence[float] = SPEEDS) -> float:
--- a/tests/scheduling/test_overload_patterns.py
+++ b/tests/scheduling/test_overload_patterns.py
@@ -115,10 +115,11 @@
     assert in_time >= IDEAL_SHARE * count_ideal(urgent + later, both)
 
 
-def test_two_routes_of_which_one_is_five_times_as_costly() -> None:
+@pytest.mark.parametrize("server_queue", [12, 40])
+def test_two_routes_of_which_one_is_five_times_as_costly(server_queue: int) -> None:
     # Guards against small requests that are refused although they hardly delay others.
     kinds = [VIEWS, SCANS]
-    world = make_world(kinds)
+    world = make_world(kinds, server_queue=server_queue)
     views = add_demand(world, VIEWS, demand(0.8), 1, 7)
     scans = add_demand(world, SCANS, demand(2.0), 1, 7)
     world.clock.run(11)
@@ -144,9 +145,10 @@
         assert measured >= IDEAL_SHARE * ideal
 
 
-def test_burst_on_long_flows() -> None:
+@pytest.mark.parametrize("server_queue", [12, 40])
+def test_burst_on_long_flows(server_queue: int) -> None:
     # Guards against long flows that use up the queue; no open flow is ever refused.
-    world = make_world([VIEWS])
+    world = make_world([VIEWS], server_queue=server_queue)
     add_demand(world, VIEWS, demand(0.5 / 6), 1, 9, requests_per_flow=6)
     add_demand(world, VIEWS, demand(0.4), 1, 9)
     add_demand(world, VIEWS, demand(1.6 / 6), 3, 6, requests_per_flow=6)
