--- a/src/lentilfork/forwarding/agent.py
+++ b/src/lentilfork/forwarding/agent.py
@@ -23,7 +23,9 @@
 from lentilfork.forwarding.flows import FlowTable
 from lentilfork.forwarding.load_exchange import LoadExchange
 from lentilfork.forwarding.load_exchange import choose_report_interval
+from lentilfork.forwarding.loads import ASSUMED_SERVICE_TIME_US
 from lentilfork.forwarding.loads import FULL_PERCENT
+from lentilfork.forwarding.loads import FULL_PERMILLE
 from lentilfork.forwarding.loads import US_PER_S
 from lentilfork.forwarding.loads import LoadTable
 from lentilfork.forwarding.ownership import FlowOwner
@@ -48,6 +50,9 @@
 # the timeouts of offers and of requests, so timers that start meanwhile are not missed.
 MINIMUM_TICK_S: Final = 0.001
 MAXIMUM_TICK_S: Final = 0.025
+# Samples from which on a service time is reported. In the mean of fewer, the assumed
+# value weighs a quarter or more, and other agents would assume it in turn.
+REPORTED_SAMPLES: Final = 4
 
 log = Logger("agent")
 
@@ -103,6 +108,7 @@
             self.decisions,
             self.idle_timeout_s,
         )
+        self.owner.admission.times = self.flows.times
         self.delivery = FlowDelivery(
             record.name,
             hash_name(record.service),
@@ -183,6 +189,11 @@
             self.counters.add("datagrams_dropped", "malformed")
             return
         self.loads.record_report(report, now)
+        if self.flows.samples == 0:
+            peers = self.roster.list_agents(self.delivery.service)
+            self.flows.service_time_s = self.loads.get_median_service_time_s(
+                {agent.name for agent in peers}
+            )
 
     def handle_announcement(
         self, announcement: ServerAnnouncement, now: float, age_s: float = 0.0
@@ -289,10 +300,15 @@
             incarnation=self.record.incarnation,
             outstanding=self.flows.outstanding,
             slots=self.flows.slots,
-            service_time_us=round(self.flows.service_time_s * US_PER_S),
+            service_time_us=(
+                round(self.flows.service_time_s * US_PER_S)
+                if self.flows.samples >= REPORTED_SAMPLES
+                else ASSUMED_SERVICE_TIME_US
+            ),
             accepting=self.record.accepting,
             slow_percent=self.server.get_slow_percent(now),
             failed_percent=round(self.delivery.failures.get_share(now) * FULL_PERCENT),
+            busy_permille=round(self.flows.busy_share(now) * FULL_PERMILLE),
         )
 
     def apply_roster(self, now: float) -> None:
@@ -313,5 +329,6 @@
             "watched": sorted(self.exchange.subscribed),
             "subscribers": len(self.exchange.subscribers),
             "service_time_ms": round(self.flows.service_time_s * 1000, 2),
+            "routes": len(self.flows.times.routes),
             "accepting": self.record.accepting,
         }
--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -18,6 +18,7 @@
 from lentilfork.forwarding.failures import FailureRate
 from lentilfork.forwarding.flows import Flow
 from lentilfork.forwarding.flows import FlowTable
+from lentilfork.forwarding.flows import is_within
 from lentilfork.forwarding.loads import FULL_PERCENT
 from lentilfork.forwarding.ownership import OFFER_TIMEOUT_S
 from lentilfork.forwarding.ownership import FlowOwner
@@ -156,6 +157,7 @@
         if flow is None and not self.confirm_placement(envelope, packet, now):
             return
         flow = self.flows.record_offer(key, envelope.ingress, now)
+        flow.record_syn(packet.sequence)
         flow.offered_by = envelope.sender
         flow.repeated = flow.repeated or envelope.repeated
         if self.unanswered_syns == 0:
@@ -174,7 +176,8 @@
         if envelope.deadline_ms == 0:
             return True
         # The roster, which may not have arrived yet, is not needed for this agent.
-        local_choice = Choice(None, self.flows.estimate_s(), self.flows.has_free_slot)
+        expected_s = self.flows.estimate_s(make_caller_key(packet))
+        local_choice = Choice(None, expected_s, self.flows.has_free_slot)
         if self.owner.admission.is_still_in_time(envelope, local_choice):
             return True
         placed = self.owner.place_or_refuse(envelope, packet, local_choice, now)
@@ -218,23 +221,49 @@
             return
         else:
             self.flows.record_use(flow, now)
+            flow.route.bytes_received += len(packet.data)
             flow.record_acknowledgement(packet.acknowledgement)
             if flow.opened and (envelope.repeated or envelope.hops):
                 self.confirm_flow(flow, envelope, now)
-            if packet.payload_bytes and self.flows.record_request(flow, now):
-                flow.answer_sequence = packet.acknowledgement
-                self.decisions.write(
-                    "handed over",
-                    flow.key,
-                    "the flow is open here",
-                    request=self.codec.read_request_id(packet),
-                    running=self.flows.running,
-                    hops=envelope.hops,
-                )
+            if packet.payload_bytes:
+                self.record_payload(flow, packet, envelope, now)
             if packet.flags & PacketFlags.RST:
                 self.flows.close(flow)
         self.deliver_to_server(packet, envelope)
 
+    def record_payload(
+        self, flow: Flow, packet: FlowPacket, envelope: Envelope, now: float
+    ) -> None:
+        """Record a packet of a request, and the request once it has arrived."""
+        arrival = flow.arrival
+        if (
+            flow.requested_at is not None
+            or flow.closed
+            or arrival.is_former(packet.sequence)
+        ):
+            return
+        if not arrival.ranges:
+            flow.answer_sequence = packet.acknowledgement
+        length = None
+        if arrival.length is None:
+            length = self.codec.measure_request(packet)
+        complete = arrival.record(packet.sequence, packet.payload_bytes, length)
+        if not arrival.request_id:
+            arrival.request_id = self.codec.read_request_id(packet)
+        if not complete:
+            self.flows.record_arriving_request(flow)
+            return
+        if not arrival.answered and self.flows.record_request(flow, now):
+            self.decisions.write(
+                "handed over",
+                flow.key,
+                "the flow is open here",
+                request=arrival.request_id,
+                running=self.flows.running,
+                hops=envelope.hops,
+            )
+        arrival.expect_next()
+
     def confirm_flow(self, flow: Flow, envelope: Envelope, now: float) -> None:
         """Notify the owner of a flow, which does not know that it is open here."""
         if now - flow.confirmed_at < CONFIRMATION_INTERVAL_S:
@@ -295,6 +324,7 @@
             self.counters.add("packets_dropped", "former_flow")
             return
         self.flows.record_use(flow, now)
+        flow.route.bytes_sent += len(data)
         self.record_progress(flow, packet, now)
         self.counters.add("packets_answered")
         self.send_to_caller(data, packet.destination)
@@ -320,6 +350,11 @@
         The status is in the packet with which the answer begins; later ones, and the
         one that ends the flow, may overtake it.
         """
+        arrival = flow.arrival
+        if arrival.ranges and packet.payload_bytes:
+            # Packets of the answer to the request before this one may still arrive.
+            is_former = not is_within(packet.sequence, flow.answer_sequence)
+            arrival.answered = arrival.answered or not is_former
         elapsed_s = self.flows.record_answer(flow, now)
         if elapsed_s is not None:
             self.counters.observe("answer_time", elapsed_s)
