scheduling: evacuations and the warm-up limit at the members

Cause: an evacuated data centre or a cold server must not get SYNs that owners with older knowledge place there. Change: EvacuationView and WarmUpLimit decide; members record what every controller states and announce their version; the agent checks each SYN before its server gets it, and owners leave out evacuated data centres. Without evacuations, bounds and rates nothing changes.

--- a/src/lentilfork/forwarding/agent.py
+++ b/src/lentilfork/forwarding/agent.py
@@ -28,9 +28,15 @@
 from lentilfork.forwarding.ownership import FlowOwner
 from lentilfork.forwarding.packets import PacketCodec
 from lentilfork.forwarding.packets import hash_name
+from lentilfork.forwarding.packets import make_caller_key
 from lentilfork.forwarding.roster import AgentRecord
 from lentilfork.forwarding.roster import Roster
+from lentilfork.forwarding.syn_guard import SynBuffer
+from lentilfork.forwarding.syn_guard import SynGuard
 from lentilfork.logs import Logger
+from lentilfork.scheduling import EvacuationView
+from lentilfork.scheduling import WarmUpBounds
+from lentilfork.scheduling import WarmUpLimit
 from lentilfork.schema import roster_pb2
 
 __all__ = ["FlowAgent"]
@@ -60,6 +66,9 @@
     flows: FlowTable
     owner: FlowOwner
     delivery: FlowDelivery
+    guard: SynGuard
+    # SYNs that arrived before the evacuations were known.
+    buffer: SynBuffer
     counters: Counters
     decisions: DecisionLog
     idle_timeout_s: float
@@ -77,12 +86,21 @@
         server: BackendServer,
         counters: Counters,
         flows_complete_since: float,
+        evacuations: EvacuationView | None = None,
+        bounds: WarmUpBounds | None = None,
+        started_at: float = 0.0,
     ) -> None:
         self.record = record
         self.roster = roster
         self.server = server
         self.counters = counters
         self.decisions = DecisionLog()
+        self.guard = SynGuard(
+            record.data_centre,
+            evacuations or EvacuationView(),
+            WarmUpLimit(started_at, bounds),
+        )
+        self.buffer = SynBuffer(counters)
         self.loads = LoadTable()
         self.exchange = LoadExchange(record, roster, self.loads, self.make_load_report)
         self.flows = FlowTable(record.slots)
@@ -96,6 +114,7 @@
             counters,
             self.decisions,
             self.idle_timeout_s,
+            self.guard.evacuations,
         )
         self.delivery = FlowDelivery(
             record.name,
@@ -108,6 +127,7 @@
             counters,
             self.decisions,
             flows_complete_since,
+            self.guard,
         )
         self.owner.deliver = self.delivery.deliver
         self.last_expiry_at = float("-inf")
@@ -160,6 +180,9 @@
         if envelope is None or packet is None:
             self.counters.add("datagrams_dropped", "malformed")
             return
+        if packet.is_opening and not self.guard.evacuations.is_settled(now):
+            self.buffer.add(make_caller_key(packet), kind, envelope, now)
+            return
         if kind is Kind.ROUTE:
             # The sender is a balancer. If this agent serves the flow itself, its own
             # owner is notified instead of the sender.
@@ -169,6 +192,26 @@
             self.delivery.deliver(envelope, packet, now)
         self.report_load_if_due(now)
 
+    def forward_buffered(self, now: float) -> None:
+        """Handle the buffered SYNs once the evacuations are known."""
+        if not self.buffer.syns or not self.guard.evacuations.is_settled(now):
+            return
+        for kind, envelope in self.buffer.remove_all(now):
+            packet = self.owner.codec.parse(envelope.data)
+            if packet is None:
+                continue
+            if kind is Kind.ROUTE:
+                self.owner.route(envelope, packet, now)
+            else:
+                self.delivery.deliver(envelope, packet, now)
+
+    def apply_evacuations(self, now: float) -> None:
+        """Apply newer evacuations to the watched agents and to this agent's report."""
+        self.guard.apply_evacuations(now)
+        self.exchange.evacuated = self.guard.evacuations.data_centres
+        self.exchange.apply_roster()
+        self.exchange.report(now)
+
     def handle_load_update(self, data: bytes, now: float) -> None:
         """Handle a load report of another agent."""
         try:
@@ -182,7 +225,8 @@
         self, announcement: ServerAnnouncement, now: float, age_s: float = 0.0
     ) -> None:
         """Handle an announcement of the backend server, which started `age_s` ago."""
-        if self.server.handle_announcement(announcement, now):
+        is_new_start = self.server.handle_announcement(announcement, now)
+        if is_new_start:
             # The flows of the previous incarnation ended with it.
             self.delivery.reset_all_flows("backend server started anew", now - age_s)
             self.delivery.flows_complete_since = now
@@ -190,6 +234,9 @@
         if self.server.latest is announcement:
             self.flows.slots = announcement.slots
             self.delivery.unanswered_syns = 0
+            self.guard.limit.record_heartbeat(
+                self.server.cold_left_s, now, is_new_start=is_new_start
+            )
         self.update_record(now)
 
     def handle_leave(self, server_id: str, born_ms: int | None, now: float) -> None:
@@ -213,6 +260,9 @@
             self.delivery.unanswered_syns >= MAXIMUM_UNANSWERED_SYNS
             and now - self.delivery.unanswered_since > UNANSWERED_TIMEOUT_S
         )
+        if unanswered and self.delivery.accepting:
+            # The server may have failed and come back before its next heartbeat.
+            self.guard.limit.expect_cold(now)
         accepting = (
             self.server.is_accepting(now) and not unanswered and not self.record.leaving
         )
@@ -240,6 +290,7 @@
 
     def tick(self, now: float) -> float:
         """Run the timers that are due; return after how many seconds to call again."""
+        self.forward_buffered(now)
         self.owner.retry_offers(now)
         self.flows.expire_awaited_requests(now)
         self.flows.slowdown_factor = (
@@ -263,9 +314,17 @@
     def report_load_if_due(self, now: float) -> None:
         """Report the load if it changed, or if the last report is too old."""
         self.exchange.report_if_due(
-            self.flows.outstanding, now, accepting=self.record.accepting
+            self.flows.outstanding, now, accepting=self.accepts_work
         )
 
+    @property
+    def accepts_work(self) -> bool:
+        """Whether owners may place new flows here; the roster does not show it all.
+
+        Agents in an evacuated data centre still own flows, so their record stays.
+        """
+        return self.record.accepting and not self.guard.is_evacuated
+
     def make_load_report(self, now: float) -> roster_pb2.LoadUpdate:
         """Return a report of the load of the backend server."""
         return roster_pb2.LoadUpdate(
@@ -274,9 +333,11 @@
             outstanding=self.flows.outstanding,
             slots=self.flows.slots,
             service_time_us=round(self.flows.service_time_s * US_PER_S),
-            accepting=self.record.accepting,
+            accepting=self.accepts_work,
             slow_percent=self.server.get_slow_percent(now),
             failed_percent=round(self.delivery.failures.get_share(now) * FULL_PERCENT),
+            openings_left=self.guard.limit.count_openings(now),
+            evacuated=self.guard.is_evacuated,
         )
 
     def apply_roster(self, now: float) -> None:
@@ -298,4 +359,6 @@
             "subscribers": len(self.exchange.subscribers),
             "service_time_ms": round(self.flows.service_time_s * 1000, 2),
             "accepting": self.record.accepting,
+            "evacuated": self.guard.is_evacuated,
+            "evacuation_version": self.guard.evacuations.version,
         }
--- a/src/lentilfork/forwarding/backend_server.py
+++ b/src/lentilfork/forwarding/backend_server.py
@@ -91,6 +91,11 @@
             return None
         return self.latest.state is not ServerState.READY
 
+    @property
+    def cold_left_s(self) -> float:
+        """Warm-up time that remained at the latest announcement, in seconds."""
+        return self.latest.cold_left_ms / MS_PER_S if self.latest is not None else 0.0
+
     def handle_announcement(self, announcement: ServerAnnouncement, now: float) -> bool:
         """Handle an announcement; return whether it begins a new incarnation.
 
--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -36,6 +36,8 @@
 from lentilfork.forwarding.search import FlowSearch
 from lentilfork.forwarding.search import decode_tag
 from lentilfork.forwarding.search import encode_tag
+from lentilfork.forwarding.syn_guard import Obstacle
+from lentilfork.forwarding.syn_guard import SynGuard
 
 __all__ = ["FlowDelivery"]
 
@@ -78,6 +80,7 @@
     counters: Counters
     decisions: DecisionLog
     failures: FailureRate
+    guard: SynGuard
     # Number of SYNs delivered since the backend server last announced itself or sent a
     # packet other than a rejected one, and the time of the first of them.
     unanswered_syns: int
@@ -99,6 +102,7 @@
         counters: Counters,
         decisions: DecisionLog,
         flows_complete_since: float,
+        guard: SynGuard,
     ) -> None:
         self.name = name
         self.service = service
@@ -115,6 +119,7 @@
         self.server_has_announced = False
         self.flows_complete_since = flows_complete_since
         self.failures = FailureRate()
+        self.guard = guard
         self.unanswered_syns = 0
         self.unanswered_since = 0.0
         self.search = FlowSearch(
@@ -153,8 +158,13 @@
         if flow is None and not self.accepts_new_flows():
             self.owner.place_elsewhere(envelope, packet, now, "not accepting")
             return
+        obstacle = self.guard.find_obstacle(flow, now)
+        if obstacle is not None:
+            self.pass_on_syn(envelope, packet, obstacle, now)
+            return
         if flow is None and not self.confirm_placement(envelope, packet, now):
             return
+        self.guard.record_syn(now)
         flow = self.flows.record_offer(key, envelope.ingress, now)
         flow.offered_by = envelope.sender
         flow.repeated = flow.repeated or envelope.repeated
@@ -163,6 +173,23 @@
         self.unanswered_syns += 1
         self.deliver_to_server(packet, envelope)
 
+    def pass_on_syn(
+        self, envelope: Envelope, packet: FlowPacket, obstacle: Obstacle, now: float
+    ) -> None:
+        """Offer a SYN that the backend server may not get to another agent.
+
+        It is dropped if its flow may open here, or if no roster has arrived yet.
+        """
+        if obstacle is Obstacle.WARM_UP_COPY:
+            self.counters.add("packets_dropped", obstacle)
+            return
+        if not self.roster.list_agents(self.service):
+            self.counters.add("packets_dropped", "not_synced")
+            return
+        placed = self.owner.place_elsewhere(envelope, packet, now, obstacle)
+        if not placed and packet.acknowledgement == 0 and not envelope.repeated:
+            self.notify_refused(envelope, make_caller_key(packet), now)
+
     def confirm_placement(
         self, envelope: Envelope, packet: FlowPacket, now: float
     ) -> bool:
@@ -437,7 +464,7 @@
             and flow.sequence is not None
             and flow.accepts_acknowledgement(returned.acknowledgement)
         ):
-            self.reset_lost_flow(flow, returned)
+            self.reset_lost_flow(flow, returned, now)
         else:
             self.search.forward_to_next_agent(returned, envelope)
 
@@ -480,8 +507,10 @@
             )
             self.send_to_caller(self.codec.make_reset(packet), source)
 
-    def reset_lost_flow(self, flow: Flow, packet: FlowPacket) -> None:
+    def reset_lost_flow(self, flow: Flow, packet: FlowPacket, now: float) -> None:
         """Reset a flow that the backend server has opened and then lost."""
+        # It may have restarted since its last announcement.
+        self.guard.limit.expect_cold(now)
         self.counters.add("flows_reset", "lost_by_backend_server")
         self.decisions.write("reset", flow.key, "the backend server lost the flow")
         self.flows.remove(flow.key)
--- a/src/lentilfork/forwarding/load_exchange.py
+++ b/src/lentilfork/forwarding/load_exchange.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Sequence
 from itertools import chain
 from typing import Final
@@ -40,12 +41,16 @@
 
 
 def choose_watched(
-    name: str, data_centre: str, agents: Sequence[AgentRecord]
+    name: str,
+    data_centre: str,
+    agents: Sequence[AgentRecord],
+    evacuated: Collection[str] = (),
 ) -> list[AgentRecord]:
     """Return the agents whose load the agent `name` follows.
 
     Available agents come first; of these, the ones with the highest rendezvous score,
-    so that a change of the roster changes the sample as little as possible.
+    so that a change of the roster changes the sample as little as possible. Agents in
+    the data centres `evacuated` come last.
     """
     ranked = sorted(
         (agent for agent in agents if agent.name != name),
@@ -54,10 +59,15 @@
             xxhash.xxh3_64_intdigest(f"{name} {agent.name}".encode()),
         ),
     )
-    nearby = [agent for agent in ranked if agent.data_centre == data_centre]
-    remote = [agent for agent in ranked if agent.data_centre != data_centre]
+    used = [agent for agent in ranked if agent.data_centre not in evacuated]
+    nearby = [agent for agent in used if agent.data_centre == data_centre]
+    remote = [agent for agent in used if agent.data_centre != data_centre]
     chosen = nearby[:WATCHED_NEARBY] + remote[: WATCHED - WATCHED_NEARBY]
-    rest = chain(nearby[WATCHED_NEARBY:], remote[WATCHED - WATCHED_NEARBY :])
+    rest = chain(
+        nearby[WATCHED_NEARBY:],
+        remote[WATCHED - WATCHED_NEARBY :],
+        (agent for agent in ranked if agent.data_centre in evacuated),
+    )
     return chosen + list(rest)[: max(WATCHED - len(chosen), 0)]
 
 
@@ -90,6 +100,8 @@
     schedule_check: Callable[[float], None]
     # Returns a report without its sequence number.
     make_report: Callable[[float], roster_pb2.LoadUpdate]
+    # Names of the evacuated data centres.
+    evacuated: Collection[str]
 
     def __init__(
         self,
@@ -104,6 +116,7 @@
         self.roster = roster
         self.loads = loads
         self.make_report = make_report
+        self.evacuated = ()
         self.candidates = Roster()
         self.subscribed = {}
         self.subscribers = {}
@@ -117,7 +130,7 @@
     def apply_roster(self) -> None:
         """Choose the watched agents again and subscribe to those that are new."""
         agents = self.roster.list_agents(self.service)
-        watched = choose_watched(self.name, self.data_centre, agents)
+        watched = choose_watched(self.name, self.data_centre, agents, self.evacuated)
         own = [agent for agent in agents if agent.name == self.name]
         self.candidates.replace(watched + own)
         for agent in watched:
--- a/src/lentilfork/forwarding/loads.py
+++ b/src/lentilfork/forwarding/loads.py
@@ -45,6 +45,15 @@
     # Number of consecutive offers that were not answered.
     unanswered_offers: int = 0
     avoided_until: float = 0.0
+    # Whether its data centre is evacuated.
+    evacuated: bool = False
+    # New flows that its cold backend server may get after the report; None: any number.
+    openings_left: int | None = None
+
+    @property
+    def has_openings(self) -> bool:
+        """Whether its backend server may get a new flow."""
+        return self.openings_left is None or self.placed < self.openings_left
 
     @property
     def requests_ahead(self) -> int:
@@ -108,12 +117,18 @@
         load.accepting = report.accepting
         load.slowdown_factor = 1 + report.slow_percent / FULL_PERCENT
         load.failed_share = report.failed_percent / FULL_PERCENT
+        load.evacuated = report.evacuated
+        load.openings_left = (
+            report.openings_left if report.HasField("openings_left") else None
+        )
         load.last_report_at = now
         load.placed = 0
 
     def is_usable(self, agent: str, now: float) -> bool:
         """Return whether an agent may get new flows by its reports and past offers."""
         load = self.get_or_create(agent)
+        if load.evacuated or not load.has_openings:
+            return False
         return (
             load.accepting and not is_overdue(load, now) and now >= load.avoided_until
         )
--- a/src/lentilfork/forwarding/membership.py
+++ b/src/lentilfork/forwarding/membership.py
@@ -27,6 +27,7 @@
 from lentilfork.forwarding.routes import RouteIndex
 from lentilfork.forwarding.routes import index_routes
 from lentilfork.logs import Logger
+from lentilfork.scheduling import EvacuationView
 from lentilfork.schema import roster_pb2
 from lentilfork.schema import state_pb2
 from lentilfork.tasks import start_task
@@ -124,6 +125,7 @@
     records: dict[str, AgentRecord]
     roster: Roster
     routes: RouteIndex
+    evacuations: EvacuationView
     # Record that this member announces; None for a balancer.
     agent: AgentRecord | None
     send: Callable[[bytes, SocketName], None]
@@ -136,6 +138,7 @@
         seeds: Iterable[SocketName],
         roster: Roster,
         counters: Counters,
+        evacuations: EvacuationView | None = None,
     ) -> None:
         self.name = name
         self.data_centre = data_centre
@@ -148,6 +151,7 @@
         self.records = {}
         self.roster = roster
         self.routes = RouteIndex()
+        self.evacuations = evacuations or EvacuationView()
         self.agent = None
         self.counters = counters
         self.add_seeds()
@@ -243,6 +247,7 @@
             table_version=self.routes.version,
             subscribe=subscribe,
             quiet=quiet,
+            evacuation_version=self.evacuations.version,
         )
         if subscribe:
             announcement.epoch = self.epoch
@@ -298,6 +303,7 @@
         view.data_centre = update.data_centre
         view.table_version = max(view.table_version, update.table_version)
         self.update_controllers(update, now)
+        self.record_evacuations(update, address, now)
         if self.primary is None and self.is_suitable_primary(view):
             # Subscribes without waiting for the next announcement, since no roster is
             # known.
@@ -306,6 +312,30 @@
         if address == self.primary:
             self.apply_agents(update)
 
+    def record_evacuations(
+        self, update: roster_pb2.RosterUpdate, controller: SocketName, now: float
+    ) -> None:
+        """Record the evacuations that any controller states.
+
+        A controller without a route table has not recovered its state yet.
+        """
+        if update.table_version == 0 and update.evacuation_version == 0:
+            return
+        voters = [
+            view.address for view in self.controllers.values() if not view.partial
+        ]
+        former = self.evacuations.data_centres
+        if self.evacuations.record(
+            controller, update.evacuation_version, update.evacuated, voters, now
+        ):
+            log.info(
+                "evacuations changed",
+                version=self.evacuations.version,
+                begun=sorted(self.evacuations.data_centres - former),
+                ended=sorted(former - self.evacuations.data_centres),
+                controller=controller[0],
+            )
+
     def is_suitable_primary(self, view: ControllerView) -> bool:
         """Return whether a controller may become the first primary immediately."""
         nearby = view.data_centre == self.data_centre
--- a/src/lentilfork/forwarding/ownership.py
+++ b/src/lentilfork/forwarding/ownership.py
@@ -32,6 +32,7 @@
 from lentilfork.forwarding.placement import choose_agent
 from lentilfork.forwarding.roster import AgentRecord
 from lentilfork.forwarding.roster import Roster
+from lentilfork.scheduling import EvacuationView
 
 __all__ = ["OFFER_TIMEOUT_S", "FlowOwner", "Offer"]
 
@@ -95,6 +96,7 @@
     admission: Admission
     counters: Counters
     decisions: DecisionLog
+    evacuations: EvacuationView
     send: Callable[[bytes, SocketName], None]
     send_to_caller: Callable[[bytes, int], None]
     # Passes an envelope to the `FlowDelivery` of this agent.
@@ -110,6 +112,7 @@
         counters: Counters,
         decisions: DecisionLog,
         idle_timeout_s: float,
+        evacuations: EvacuationView,
     ) -> None:
         self.name = name
         self.codec = codec
@@ -122,6 +125,7 @@
         self.admission = Admission()
         self.counters = counters
         self.decisions = decisions
+        self.evacuations = evacuations
 
     def route(self, envelope: Envelope, packet: FlowPacket, now: float) -> None:
         """Forward a packet to the agent that serves its flow; place a new flow."""
@@ -209,6 +213,7 @@
             excluded,
             now,
             all_agents=all_agents,
+            evacuated=self.evacuations.data_centres,
         )
 
     def place(self, envelope: Envelope, packet: FlowPacket, now: float) -> None:
@@ -220,7 +225,7 @@
             return
         choice = self.choose_target(envelope, key, [], now)
         if choice.agent is None:
-            self.refuse_offer(envelope, packet, "no agent takes new flows")
+            self.refuse_offer(envelope, packet, self.explain_refusal("no agent"))
             return
         if not self.admission.is_in_time(envelope, choice):
             choice = self.choose_target(envelope, key, [], now, all_agents=True)
@@ -286,21 +291,34 @@
             return
         self.refuse(packet, reason, **inputs)
 
+    def explain_refusal(self, agents: str) -> str:
+        """Return the reason to refuse a flow that no agent can get.
+
+        `agents` names the agents that could get it without evacuations.
+        """
+        if self.evacuations.data_centres:
+            return f"{agents} outside evacuated data centres takes new flows"
+        return f"{agents} takes new flows"
+
     def place_elsewhere(
         self, envelope: Envelope, packet: FlowPacket, now: float, reason: str
-    ) -> None:
-        """Offer a SYN that this agent's backend server does not accept elsewhere."""
+    ) -> bool:
+        """Offer a SYN that this agent's backend server does not accept elsewhere.
+
+        Returns False if no other agent can get it.
+        """
         key = make_caller_key(packet)
         if envelope.hops >= MAXIMUM_SYN_HOPS:
             self.refuse_offer(envelope, packet, "rejected by every agent asked")
-            return
+            return False
         choice = self.choose_target(envelope, key, [self.name], now)
         if choice.agent is None:
-            self.refuse_offer(envelope, packet, "no other agent takes new flows")
-            return
+            self.refuse_offer(envelope, packet, self.explain_refusal("no other agent"))
+            return False
         self.counters.add("flows_placed_elsewhere", reason)
         forwarded = replace(envelope, hops=envelope.hops + 1)
         self.send_offer(choice, forwarded, packet, now)
+        return True
 
     def place_or_refuse(
         self, envelope: Envelope, packet: FlowPacket, local_choice: Choice, now: float
--- a/src/lentilfork/forwarding/placement.py
+++ b/src/lentilfork/forwarding/placement.py
@@ -54,6 +54,7 @@
     now: float,
     *,
     all_agents: bool = False,
+    evacuated: Collection[str] = (),
 ) -> Choice:
     """Return the agent whose answer to a new flow is expected first.
 
@@ -61,7 +62,13 @@
     flow's rendezvous order. The first few candidates are compared, or every one if
     `all_agents` is set. If none is usable, all agents are considered; those that seem
     unusable only if no other is left, since their load reports may be out of date.
+    Agents in the data centres `evacuated` are never returned.
     """
+    if evacuated:
+        candidates = [
+            agent for agent in candidates if agent.data_centre not in evacuated
+        ]
+        ranked = [agent for agent in ranked if agent.data_centre not in evacuated]
     for agents in (candidates, ranked):
         usable = (
             agent
--- a/src/lentilfork/forwarding/processes.py
+++ b/src/lentilfork/forwarding/processes.py
@@ -35,6 +35,8 @@
 from lentilfork.forwarding.sockets import DatagramSocket
 from lentilfork.forwarding.sockets import PauseDetector
 from lentilfork.logs import Logger
+from lentilfork.scheduling import EvacuationView
+from lentilfork.scheduling import WarmUpBounds
 from lentilfork.schema import roster_pb2
 from lentilfork.tasks import start_supervised
 from lentilfork.tasks import start_task
@@ -97,6 +99,7 @@
             settings.controllers,
             self.roster,
             self.counters,
+            EvacuationView(awaits_majority=settings.evacuations),
         )
         self.fetcher = TableFetcher(self.membership, self.apply_table)
         self.tasks = []
@@ -115,6 +118,9 @@
     def apply_table(self) -> None:
         """Apply the membership's newer route table."""
 
+    def apply_evacuations(self, now: float) -> None:
+        """Apply the membership's newer evacuations."""
+
     def apply_seeds(self, controllers: tuple[SocketName, ...]) -> None:
         """Apply the controllers of changed settings."""
         if self.membership.seeds == list(controllers):
@@ -155,7 +161,10 @@
             self.counters.add("datagrams_dropped", "malformed")
             return
         now = time.monotonic()
+        former = self.membership.evacuations.version
         self.membership.handle_update(update, sender, now)
+        if self.membership.evacuations.version != former:
+            self.apply_evacuations(now)
         self.fetcher.start_if_needed(now)
 
     async def announce(self) -> None:
@@ -321,6 +330,9 @@
             BackendServer(settings.service, settings.server_interval_s),
             self.counters,
             now + MAXIMUM_FLOW_AGE_S,
+            self.membership.evacuations,
+            make_bounds(settings),
+            now,
         )
         self.membership.agent = record
         self.roster.listeners.append(lambda: self.agent.apply_roster(time.monotonic()))
@@ -379,6 +391,7 @@
             log.info("no backend server yet", error="connection refused")
             # All flows of a server that starts from now on open through this process.
             self.agent.delivery.flows_complete_since = time.monotonic()
+            self.agent.guard.limit.clear_quota()
             return
         except (OSError, TimeoutError) as error:
             log.info("no backend server yet", error=repr(error))
@@ -412,9 +425,15 @@
         """Handle a packet of the backend server."""
         self.agent.handle_server_packet(data, time.monotonic())
 
+    def apply_evacuations(self, now: float) -> None:
+        """Apply newer evacuations to the agent's flows and reports."""
+        self.agent.apply_evacuations(now)
+
     def apply_table(self) -> None:
-        """Apply the routes and the idle timeout of a newer route table."""
-        self.agent.delivery.apply_routes(self.membership.routes, time.monotonic())
+        """Apply the routes and the limits of a newer route table."""
+        routes = self.membership.routes
+        self.agent.delivery.apply_routes(routes, time.monotonic())
+        self.agent.guard.limit.apply_rate(routes.warm_ups.get(self.settings.service))
         timeout_s = self.membership.routes.idle_timeout_ms / MS_PER_S
         self.agent.idle_timeout_s = timeout_s
         self.agent.owner.directory.lifetime_s = timeout_s
@@ -457,3 +476,11 @@
             "agents": sorted(self.roster.agents),
             **self.agent.dump(),
         }
+
+
+def make_bounds(settings: FlowAgentSettings) -> WarmUpBounds | None:
+    """Return the bounds for a cold backend server, or None if none are set."""
+    overshoot, slack = settings.cold_overshoot, settings.cold_slack
+    if overshoot is None and slack is None:
+        return None
+    return WarmUpBounds(1.0 if overshoot is None else overshoot, slack or 0.0)
--- a/src/lentilfork/forwarding/routes.py
+++ b/src/lentilfork/forwarding/routes.py
@@ -11,6 +11,7 @@
 import xxhash
 
 from lentilfork.forwarding.packets import hash_name
+from lentilfork.scheduling import WarmUpRate
 from lentilfork.schema import state_pb2
 
 __all__ = ["FormerServices", "Route", "RouteIndex", "index_routes"]
@@ -66,6 +67,8 @@
     routes: dict[tuple[int, int], Route] = field(default_factory=dict)
     # Service names by the identifier that envelopes carry, see `hash_name`.
     services: dict[int, str] = field(default_factory=dict)
+    # Rates of cold backend servers by service; services without a limit are left out.
+    warm_ups: dict[str, WarmUpRate] = field(default_factory=dict)
 
 
 class FormerServices:
@@ -158,4 +161,9 @@
         table.idle_timeout_ms,
         routes,
         {hash_name(name): name for name in names},
+        {
+            item.service: WarmUpRate(item.per_s, item.duration_s)
+            for item in table.warm_ups
+            if item.per_s > 0
+        },
     )
--- a/src/lentilfork/forwarding/settings.py
+++ b/src/lentilfork/forwarding/settings.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import dataclass
+from dataclasses import field
 from pathlib import Path
 
 __all__ = [
@@ -32,6 +33,9 @@
     controllers: tuple[SocketName, ...]
     # Port that callers receive packets at.
     caller_port: int
+    # Whether operators may evacuate data centres: after its start, the member places no
+    # flow before it knows the evacuations.
+    evacuations: bool = field(default=False, kw_only=True)
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +59,10 @@
     server_interval_s: float
     # Time from the signal to stop until the process is killed.
     grace_s: float
+    # In one second a cold backend server may get its rate times `cold_overshoot` plus
+    # `cold_slack` SYNs. There is no limit if neither is given.
+    cold_overshoot: float | None = field(default=None, kw_only=True)
+    cold_slack: float | None = field(default=None, kw_only=True)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/forwarding/simulation.py
+++ b/tests/forwarding/simulation.py
@@ -31,6 +31,9 @@
 from lentilfork.forwarding.routes import index_routes
 from lentilfork.platform.header import HEADER
 from lentilfork.platform.header import HeaderCodec
+from lentilfork.scheduling import EvacuationView
+from lentilfork.scheduling import WarmUpBounds
+from lentilfork.scheduling import WarmUpRate
 from lentilfork.schema import state_pb2
 
 SERVICE = "chairs"
@@ -45,6 +48,8 @@
 RETRANSMIT_S = 0.2
 SYN_BIT, ACK_BIT, RST_BIT, FIN_BIT, REJECTED_BIT = 4, 2, 8, 32, 16
 SERVER_QUEUE = 12
+# Factor on the time of requests while a server is cold.
+COLD_SLOWDOWN = 1.7
 FAILURE_RESPONSE = b"HTTP/1.1 500 Internal Server Error"
 CODEC = HeaderCodec()
 
@@ -146,6 +151,8 @@
     failing_share: float = 0.0
     # Number of rejected packets.
     rejected: int = 0
+    # Times at which SYNs arrived, and whether the server was cold then.
+    syns: list[tuple[float, bool]] = field(default_factory=list)
 
     def handle_packet(self, data: bytes) -> None:
         """Handle a packet from the agent."""
@@ -155,6 +162,8 @@
         assert packet is not None
         caller = (packet.source, packet.source_port)
         if packet.is_opening:
+            now = self.host.world.clock.now
+            self.syns.append((now, now < self.host.cold_until))
             full = len(self.queue) + self.running >= self.slots + SERVER_QUEUE
             if full and caller not in self.flows:
                 self.reject(data)
@@ -201,6 +210,8 @@
         self.running += 1
         attempt.request.runs += 1
         work_s = attempt.request.work_s / self.speed
+        if self.host.world.clock.now < self.host.cold_until:
+            work_s *= COLD_SLOWDOWN
         self.busy_s += work_s
         self.host.world.clock.call_in(work_s, lambda: self.finish_request(attempt))
 
@@ -248,8 +259,17 @@
             subscribes=True,
         )
         self.agent = FlowAgent(
-            record, CODEC, self.roster, BackendServer(service, 1.0), Counters(), 0.0
+            record,
+            CODEC,
+            self.roster,
+            BackendServer(service, 1.0),
+            Counters(),
+            0.0,
+            EvacuationView(awaits_majority=world.awaits_majority),
+            world.bounds,
+            world.clock.now,
         )
+        self.agent.guard.limit.apply_rate(world.rate)
         self.agent.connect(
             self.send,
             world.send_to_caller,
@@ -319,6 +339,12 @@
 class World:
     """Simulated deployment in virtual time."""
 
+    # Limits of cold servers; None: there are none.
+    bounds: WarmUpBounds | None = None
+    rate: WarmUpRate | None = None
+    # Whether agents wait for the evacuations of a majority of controllers.
+    awaits_majority = False
+
     def __init__(self, speeds: list[float], slots: int = 1, seed: int = 1) -> None:
         self.rng = random.Random(seed)
         self.clock = VirtualClock()
@@ -393,6 +419,7 @@
         )
         host.server = former.server
         host.server.host = host
+        host.cold_until = former.cold_until
         host.agent.delivery.flows_complete_since = self.clock.now + MAXIMUM_FLOW_AGE_S
         self.hosts[name] = host
         host.announce_server()
--- /dev/null
+++ b/tests/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions about where new work runs."""
