--- a/src/lentilfork/forwarding/syn_guard.py
+++ b/src/lentilfork/forwarding/syn_guard.py
@@ -19,9 +19,12 @@
 
 __all__ = ["Obstacle", "SynBuffer", "SynGuard"]
 
-# A caller retransmits its SYN after 200 ms, to the next owner. An older one may have
-# opened its flow there.
+# Longest wait of a SYN that came from a balancer: the caller retransmits it after 200
+# ms, to the next owner, where its flow may open.
 BUFFER_TIMEOUT_S: Final = 0.18
+# Longest wait of a SYN that an owner has offered: the owner offers it to another agent
+# after 80 ms, and a reset from here would break the flow that opens there.
+OFFER_BUFFER_TIMEOUT_S: Final = 0.04
 MAXIMUM_BUFFERED_SYNS: Final = 1024
 
 
@@ -108,12 +111,13 @@
             self.counters.add("packets_dropped", "held_too_many")
 
     def remove_all(self, now: float) -> list[tuple[Kind, Envelope]]:
-        """Remove the SYNs; return those whose callers have not retransmitted them."""
+        """Remove the SYNs; return those that no other agent has got meanwhile."""
         syns, self.syns = self.syns, OrderedDict()
         recent = [
             (kind, envelope)
             for kind, envelope, arrived_at in syns.values()
-            if now - arrived_at <= BUFFER_TIMEOUT_S
+            if now - arrived_at
+            <= (BUFFER_TIMEOUT_S if kind is Kind.ROUTE else OFFER_BUFFER_TIMEOUT_S)
         ]
         if len(recent) < len(syns):
             late = len(syns) - len(recent)
