--- a/src/lentilfork/forwarding/ownership.py
+++ b/src/lentilfork/forwarding/ownership.py
@@ -33,6 +33,7 @@
 from lentilfork.forwarding.placement import choose_agent
 from lentilfork.forwarding.roster import AgentRecord
 from lentilfork.forwarding.roster import Roster
+from lentilfork.scheduling import EvacuationView
 from lentilfork.scheduling.shedding import Reason
 
 __all__ = ["OFFER_TIMEOUT_S", "FlowOwner", "Offer"]
@@ -97,6 +98,7 @@
     admission: Admission
     counters: Counters
     decisions: DecisionLog
+    evacuations: EvacuationView
     send: Callable[[bytes, SocketName], None]
     send_to_caller: Callable[[bytes, int], None]
     # Passes an envelope to the `FlowDelivery` of this agent.
@@ -112,6 +114,7 @@
         counters: Counters,
         decisions: DecisionLog,
         idle_timeout_s: float,
+        evacuations: EvacuationView,
     ) -> None:
         self.name = name
         self.codec = codec
@@ -124,6 +127,7 @@
         self.admission = Admission()
         self.counters = counters
         self.decisions = decisions
+        self.evacuations = evacuations
 
     def route(self, envelope: Envelope, packet: FlowPacket, now: float) -> None:
         """Forward a packet to the agent that serves its flow; place a new flow."""
@@ -211,6 +215,7 @@
             excluded,
             now,
             all_agents=all_agents,
+            evacuated=self.evacuations.data_centres,
         )
 
     # Returns where a new flow would be placed now; changes nothing.
@@ -226,7 +231,7 @@
         claim = self.admission.examine(envelope, packet, now)
         choice = self.choose_target(envelope, key, [], now)
         if choice.agent is None:
-            self.refuse_offer(envelope, packet, "no agent takes new flows")
+            self.refuse_offer(envelope, packet, self.explain_refusal("no agent"))
             return
         if not self.admission.is_in_time(envelope, choice, claim):
             choice = self.choose_target(envelope, key, [], now, all_agents=True)
@@ -300,21 +305,34 @@
         data_centre = self.roster.find_data_centre(envelope.ingress)
         self.counters.add("flows_refused_by_data_centre", data_centre)
 
+    def explain_refusal(self, agents: str) -> str:
+        """Return the reason to refuse a flow that no agent can get.
+
+        `agents` names the agents that could get it without evacuations.
+        """
+        if self.evacuations.data_centres:
+            return f"{agents} outside evacuated data centres takes new flows"
+        return f"{agents} takes new flows"
+
     def place_elsewhere(
         self, envelope: Envelope, packet: FlowPacket, now: float, reason: str
-    ) -> None:
-        """Offer a SYN that this agent's backend server does not accept elsewhere."""
+    ) -> bool:
+        """Offer a SYN that this agent's backend server does not accept elsewhere.
+
+        Returns False if no other agent can get it.
+        """
         key = make_caller_key(packet)
         if envelope.hops >= MAXIMUM_SYN_HOPS:
             self.refuse_offer(envelope, packet, "rejected by every agent asked")
-            return
+            return False
         choice = self.choose_target(envelope, key, [self.name], now)
         if choice.agent is None:
-            self.refuse_offer(envelope, packet, "no other agent takes new flows")
-            return
+            self.refuse_offer(envelope, packet, self.explain_refusal("no other agent"))
+            return False
         self.counters.add("flows_placed_elsewhere", reason)
         forwarded = replace(envelope, hops=envelope.hops + 1)
         self.send_offer(choice, forwarded, packet, now)
+        return True
 
     def place_or_refuse(
         self, envelope: Envelope, packet: FlowPacket, local_choice: Choice, now: float
--- a/src/lentilfork/forwarding/processes.py
+++ b/src/lentilfork/forwarding/processes.py
@@ -37,6 +37,8 @@
 from lentilfork.forwarding.table_fetcher import TableFetcher
 from lentilfork.http_server import Response
 from lentilfork.logs import Logger
+from lentilfork.scheduling import EvacuationView
+from lentilfork.scheduling import WarmUpBounds
 from lentilfork.schema import roster_pb2
 from lentilfork.tasks import start_supervised
 from lentilfork.tasks import start_task
@@ -99,6 +101,7 @@
             settings.controllers,
             self.roster,
             self.counters,
+            EvacuationView(awaits_majority=settings.evacuations),
         )
         self.fetcher = TableFetcher(self.membership, self.apply_table)
         self.tasks = []
@@ -117,6 +120,9 @@
     def apply_table(self) -> None:
         """Apply the membership's newer route table."""
 
+    def apply_evacuations(self, now: float) -> None:
+        """Apply the membership's newer evacuations."""
+
     def apply_seeds(self, controllers: tuple[SocketName, ...]) -> None:
         """Apply the controllers of changed settings."""
         if self.membership.seeds == list(controllers):
@@ -157,7 +163,10 @@
             self.counters.add("datagrams_dropped", "malformed")
             return
         now = time.monotonic()
+        former = self.membership.evacuations.version
         self.membership.handle_update(update, sender, now)
+        if self.membership.evacuations.version != former:
+            self.apply_evacuations(now)
         self.fetcher.start_if_needed(now)
 
     async def announce(self) -> None:
@@ -323,6 +332,9 @@
             BackendServer(settings.service, settings.server_interval_s),
             self.counters,
             now + MAXIMUM_FLOW_AGE_S,
+            self.membership.evacuations,
+            make_bounds(settings),
+            now,
         )
         self.membership.agent = record
         self.roster.listeners.append(lambda: self.agent.apply_roster(time.monotonic()))
@@ -381,6 +393,7 @@
             log.info("no backend server yet", error="connection refused")
             # All flows of a server that starts from now on open through this process.
             self.agent.delivery.flows_complete_since = time.monotonic()
+            self.agent.guard.limit.clear_quota()
             return
         except (OSError, TimeoutError) as error:
             log.info("no backend server yet", error=repr(error))
@@ -414,6 +427,10 @@
         """Handle a packet of the backend server."""
         self.agent.handle_server_packet(data, time.monotonic())
 
+    def apply_evacuations(self, now: float) -> None:
+        """Apply newer evacuations to the agent's flows and reports."""
+        self.agent.apply_evacuations(now)
+
     def apply_table(self) -> None:
         """Apply the routes and the idle timeout of a newer route table."""
         self.agent.apply_routes(self.membership.routes, time.monotonic())
@@ -461,3 +478,11 @@
         """Return where the flow that a query string describes would be placed now."""
         routes = self.membership.routes
         return answer_explanation(self.agent.owner, routes, query, time.monotonic())
+
+
+def make_bounds(settings: FlowAgentSettings) -> WarmUpBounds | None:
+    """Return the bounds for a cold backend server, or None if none are set."""
+    overshoot, slack = settings.cold_overshoot, settings.cold_slack
+    if overshoot is None and slack is None:
+        return None
+    return WarmUpBounds(1.0 if overshoot is None else overshoot, slack or 0.0)
--- a/src/lentilfork/forwarding/settings.py
+++ b/src/lentilfork/forwarding/settings.py
@@ -33,7 +33,8 @@
     controllers: tuple[SocketName, ...]
     # Port that callers receive packets at.
     caller_port: int
-    # Whether operators may evacuate data centres.
+    # Whether operators may evacuate data centres: after its start, the member places no
+    # flow before it knows the evacuations.
     evacuations: bool = field(default=False, kw_only=True)
 
 
@@ -60,8 +61,8 @@
     grace_s: float
     # Whether the deployment judges where flows are placed.
     places: bool = field(default=False, kw_only=True)
-    # Most new flows of a cold backend server in a second: this many times the rate of
-    # its service, and this many more. None: not given.
+    # In one second a cold backend server may get its rate times `cold_overshoot` plus
+    # `cold_slack` SYNs. There is no limit if neither is given.
     cold_overshoot: float | None = field(default=None, kw_only=True)
     cold_slack: float | None = field(default=None, kw_only=True)
 
--- a/tests/scheduling/__init__.py
+++ b/tests/scheduling/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of decisions about load."""
+"""Tests of the decisions about where new work runs."""
