--- a/src/lentilfork/dispatcher.py
+++ b/src/lentilfork/dispatcher.py
@@ -76,6 +76,8 @@
     limits: Preset
     # Names of the agents of the service.
     peers: set[str]
+    # Names of the evacuated data centres, whose agents get no new requests.
+    evacuated: frozenset[str]
     # Agents that serve the exchanges and downloads of the buckets owned here.
     exchanges: Directory
     downloads: Directory
@@ -109,6 +111,7 @@
         self.table = RoutingTable(ClusterState())
         self.limits = ClusterState().limits
         self.peers = set()
+        self.evacuated = frozenset()
         self.exchanges = Directory(EXCHANGE_LIFETIME_S)
         self.downloads = Directory(DOWNLOAD_LIFETIME_S)
         self.loads = LoadTable()
@@ -284,7 +287,9 @@
         self.loads.get_or_create(self.local_name).record_report(
             self.measure_load(), now
         )
-        return choose_agent(route.agents, self.loads, tried, now, self.rng)
+        return choose_agent(
+            route.agents, self.loads, tried, now, self.rng, self.evacuated
+        )
 
     def forward_job(self, job: Job) -> bool:
         """Forward a request that this agent could not serve to another agent.
--- a/src/lentilfork/routing/placement.py
+++ b/src/lentilfork/routing/placement.py
@@ -27,13 +27,19 @@
     excluded: Collection[str],
     now: float,
     rng: random.Random,
+    evacuated: Collection[str] = (),
 ) -> Agent | None:
     """Return the agent to serve a new request; None if no agent may serve it.
 
-    `excluded` are names of agents; `now` is on the monotonic clock, in seconds.
+    `excluded` are names of agents and `evacuated` those of data centres that get no new
+    requests; `now` is on the monotonic clock, in seconds.
     """
     candidates = [
-        agent for agent in agents if not agent.draining and agent.name not in excluded
+        agent
+        for agent in agents
+        if not agent.draining
+        and agent.name not in excluded
+        and agent.data_centre not in evacuated
     ]
     if not candidates:
         return None
--- a/tests/forwarding/test_processes.py
+++ b/tests/forwarding/test_processes.py
@@ -21,6 +21,8 @@
 from lentilfork.forwarding.settings import FlowAgentSettings
 from lentilfork.forwarding.settings import FlowBalancerSettings
 from lentilfork.platform.header import HeaderCodec
+from lentilfork.scheduling import WarmUpBounds
+from lentilfork.schema import roster_pb2
 from lentilfork.schema import state_pb2
 from tests.forwarding.simulation import ADDRESS
 from tests.forwarding.simulation import PORT
@@ -103,6 +105,45 @@
             await role.stop()
 
 
+# Guards against an agent process that records an evacuation and does not act on it, and
+# against rates of cold servers that don't reach the limit.
+async def test_agent_process_applies_evacuations_rates_and_bounds() -> None:
+    role = make_agent_role((LOOPBACK, 9))
+    role.settings = replace(role.settings, evacuations=True, cold_slack=2.0)
+    role = FlowAgentRole(role.settings, HeaderCodec())
+    assert isinstance(await role.start(), Ok)
+    try:
+        guard = role.agent.guard
+        assert not guard.evacuations.is_settled(time.monotonic())
+        update = roster_pb2.RosterUpdate(
+            controller=f"{LOOPBACK}:7",
+            table_version=1,
+            evacuation_version=3,
+            evacuated=["north"],
+        )
+        role.handle_update(b"\x06" + update.SerializeToString(), (LOOPBACK, 7))
+        assert guard.is_evacuated
+        assert role.agent.exchange.evacuated == {"north"}
+        table = state_pb2.RouteTable(
+            version=1,
+            warm_ups=[state_pb2.WarmUp(service=SERVICE, per_s=9.0, duration_s=5.0)],
+        )
+        role.membership.apply_table(table)
+        role.apply_table()
+        guard.limit.clear_quota()
+        assert guard.limit.count_openings(time.monotonic()) == 9
+        assert guard.limit.bounds == WarmUpBounds(1.0, 2.0)
+    finally:
+        await role.stop()
+
+
+def test_agent_process_without_such_settings_has_no_limits() -> None:
+    role = make_agent_role((LOOPBACK, 9))
+    guard = role.agent.guard
+    assert guard.evacuations.is_settled(time.monotonic())
+    assert guard.limit.count_openings(time.monotonic()) is None
+
+
 async def test_agent_announces_itself_after_an_unexpected_error(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
