--- a/src/lentilfork/dispatcher.py
+++ b/src/lentilfork/dispatcher.py
@@ -76,6 +76,8 @@
     limits: Preset
     # Names of the agents of the service.
     peers: set[str]
+    # Names of the evacuated data centres, whose agents get no new requests.
+    evacuated: frozenset[str]
     # Agents that serve the exchanges and downloads of the buckets owned here.
     exchanges: Directory
     downloads: Directory
@@ -109,6 +111,7 @@
         self.table = RoutingTable(ClusterState())
         self.limits = ClusterState().limits
         self.peers = set()
+        self.evacuated = frozenset()
         self.exchanges = Directory(EXCHANGE_LIFETIME_S)
         self.downloads = Directory(DOWNLOAD_LIFETIME_S)
         self.loads = LoadTable()
@@ -119,6 +122,7 @@
         """Apply a new generation of the replicated state."""
         self.table = RoutingTable(new, self.table)
         self.limits = new.limits
+        self.evacuated = frozenset(new.evacuated)
         agents = {agent.name: agent for agent in new.list_agents(self.service)}
         self.peers = set(agents)
         self.loads.retain_agents(self.peers)
@@ -284,7 +288,9 @@
         self.loads.get_or_create(self.local_name).record_report(
             self.measure_load(), now
         )
-        return choose_agent(route.agents, self.loads, tried, now, self.rng)
+        return choose_agent(
+            route.agents, self.loads, tried, now, self.rng, self.evacuated
+        )
 
     def forward_job(self, job: Job) -> bool:
         """Forward a request that this agent could not serve to another agent.
