--- a/src/lentilfork/forwarding/admission.py
+++ b/src/lentilfork/forwarding/admission.py
@@ -4,6 +4,8 @@
 the route's target. Callers may retry a refused flow immediately, and most of them do.
 """
 
+from typing import Final
+
 from lentilfork.forwarding.envelopes import Envelope
 from lentilfork.forwarding.packets import FlowPacket
 from lentilfork.forwarding.placement import Choice
@@ -20,6 +22,12 @@
 
 __all__ = ["MS_PER_S", "Admission"]
 
+# Changes of the factor for a SYN that the server rejects and for each new flow. In
+# balance, one flow in 25 or so is rejected.
+QUEUE_FACTOR_DECREASE: Final = 0.95
+QUEUE_FACTOR_INCREASE: Final = 0.001
+MINIMUM_QUEUE_FACTOR: Final = 0.3
+
 
 class Admission:
     """Decides which new flows an owner admits."""
@@ -29,6 +37,9 @@
     refused_share: float
     # The same of ranked flows, by priority.
     refused: RefusedShares
+    # Factor on the limits of ranked flows, lowered when the own server rejects SYNs
+    # because its queue is full.
+    queue_factor: float
     callers: CallerShares
     # Service times of this agent's server, which is like the others of its service.
     times: ServiceTimes
@@ -36,6 +47,7 @@
     def __init__(self) -> None:
         self.refused_share = 0.0
         self.refused = RefusedShares()
+        self.queue_factor = 1.0
         self.callers = CallerShares()
         self.times = ServiceTimes()
 
@@ -63,6 +75,8 @@
         refused = not self.is_in_time(envelope, choice, claim)
         if envelope.target_ms >= RANKED_TARGET_MS:
             self.refused.record(envelope.priority, claim, refused=refused)
+            recovered = self.queue_factor + QUEUE_FACTOR_INCREASE
+            self.queue_factor = min(recovered, 1.0)
             return not refused
         self.refused_share += REFUSED_SHARE_SMOOTHING * (refused - self.refused_share)
         return not refused
@@ -77,6 +91,12 @@
         limit_ms = envelope.target_ms or envelope.deadline_ms
         return choice.has_free_slot or expected_ms <= limit_ms
 
+    def record_rejection(self) -> None:
+        """Record that this agent's server rejected a SYN, as its queue was full."""
+        self.queue_factor = max(
+            self.queue_factor * QUEUE_FACTOR_DECREASE, MINIMUM_QUEUE_FACTOR
+        )
+
     def get_limit_ms(self, envelope: Envelope, claim: Claim = ORDINARY) -> float:
         """Return the longest expected time to an answer with which it is admitted."""
         refused_share = self.refused_share
@@ -88,4 +108,5 @@
             envelope.priority,
             refused_share,
             claim,
+            self.queue_factor,
         )
--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -464,6 +464,8 @@
         )
         if returned.is_opening:
             envelope.repeated = self.may_be_open_elsewhere(flow, now)
+            if not self.flows.has_free_slot:
+                self.owner.admission.record_rejection()
             self.flows.remove(key)
             self.owner.place_elsewhere(envelope, returned, now, "rejected")
         elif (
--- a/src/lentilfork/scheduling/shedding.py
+++ b/src/lentilfork/scheduling/shedding.py
@@ -77,7 +77,12 @@
 
 
 def get_limit_ms(
-    target_ms: int, deadline_ms: int, priority: int, refused_share: float, claim: Claim
+    target_ms: int,
+    deadline_ms: int,
+    priority: int,
+    refused_share: float,
+    claim: Claim,
+    queue_factor: float = 1.0,
 ) -> float:
     """Return the longest expected time to an answer with which a flow is placed.
 
@@ -90,6 +95,8 @@
     share = max(ADMITTED_SHARE - PRIORITY_STEP * priority, MINIMUM_ADMITTED_SHARE)
     share *= 1 - REFUSED_SHARE_WEIGHT * refused_share
     if target_ms >= RANKED_TARGET_MS:
+        if priority > 0:
+            share *= queue_factor
         if claim.heavy_caller:
             share *= HEAVY_CALLER_FACTOR
         elif claim.work <= SMALL_WORK:
--- a/tests/scheduling/test_shedding.py
+++ b/tests/scheduling/test_shedding.py
@@ -3,10 +3,12 @@
 import pytest
 
 from lentilfork.counters import Counters
+from lentilfork.forwarding.admission import Admission
 from lentilfork.forwarding.envelopes import Envelope
 from lentilfork.forwarding.envelopes import Kind
 from lentilfork.forwarding.envelopes import encode_envelope
 from lentilfork.forwarding.packets import hash_name
+from lentilfork.forwarding.placement import Choice
 from lentilfork.scheduling.shedding import MAXIMUM_ADDRESSES
 from lentilfork.scheduling.shedding import ORDINARY
 from lentilfork.scheduling.shedding import CallerShares
@@ -97,3 +99,22 @@
     assert counters.get("flows_refused", "answer expected too late") == 1
     assert counters.get("flows_refused_by_priority", "2") == 1
     assert counters.get("flows_refused_by_data_centre", "south") == 1
+
+
+def test_limits_fall_while_the_server_rejects_flows_and_rise_again() -> None:
+    # Guards against servers whose queue is shorter than the target allows: they reject
+    # urgent and small requests like all others.
+    admission = Admission()
+    ordinary = Envelope(Kind.ROUTE, 0, 1, 1, 2863, 429, 1, b"")
+    short = Envelope(Kind.ROUTE, 0, 1, 1, 1000, 180, 1, b"")
+    urgent = Envelope(Kind.ROUTE, 0, 1, 1, 2863, 429, 0, b"")
+    envelopes = (ordinary, short, urgent)
+    before = [admission.get_limit_ms(envelope) for envelope in envelopes]
+    for _ in range(100):
+        admission.record_rejection()
+    limits = [admission.get_limit_ms(envelope) for envelope in envelopes]
+    assert limits[0] < before[0] / 2
+    assert limits[1:] == before[1:]
+    for _ in range(1_000):
+        admission.admit(ordinary, Choice(None, 0.0, has_free_slot=True))
+    assert admission.get_limit_ms(ordinary) == pytest.approx(before[0])
