--- a/src/lentilfork/scheduling/__init__.py
+++ b/src/lentilfork/scheduling/__init__.py
@@ -4,6 +4,9 @@
 evacuated data centres (`EvacuationView.record`), rates of cold backend servers
 (`WarmUpRate`) and the SYNs that a server got. Output: the evacuated data centres and
 how many SYNs a server may get.
+
+`service_times` (`RouteWork`, `ServiceTimes`) and `shedding` (`Claim`, `CallerShares`,
+`RefusedShares`, `Reason`) define the inputs and outputs of estimates and of refusals.
 """
 
 from lentilfork.scheduling.evacuations import EvacuationView
