state: price of traffic between data centres in presets

Cause: operators can't say what a megabyte between data centres is worth to them. Change: Preset.transfer_cost with codec, check, JSON key transfer_ms_per_mb (0 to 1,000,000 or "never") and columns of preset list. The default, 1,000 ms, is encoded as no message, so digests of states without a price stay those of earlier builds.

--- a/src/lentilfork/cli/definitions.py
+++ b/src/lentilfork/cli/definitions.py
@@ -8,6 +8,7 @@
 import ipaddress
 from typing import Annotated
 from typing import Final
+from typing import Literal
 
 from pydantic import AfterValidator
 from pydantic import Field
@@ -16,12 +17,16 @@
 from lentilfork.schema import state_pb2
 from lentilfork.settings import DocumentModel
 from lentilfork.settings import ProcessName
+from lentilfork.state.codec import encode_transfer_cost
+from lentilfork.state.model import DEFAULT_TRANSFER_MS_PER_MB
+from lentilfork.state.model import TransferCost
 from lentilfork.state.validation import FULL_PERCENT
 from lentilfork.state.validation import MAXIMUM_DEADLINE_MS
 from lentilfork.state.validation import MAXIMUM_LONG_PATHS
 from lentilfork.state.validation import MAXIMUM_PORT
 from lentilfork.state.validation import MAXIMUM_QUEUE_PER_SLOT
 from lentilfork.state.validation import MAXIMUM_TIME_MS
+from lentilfork.state.validation import MAXIMUM_TRANSFER_MS_PER_MB
 
 __all__ = [
     "PRESET_ADAPTER",
@@ -47,6 +52,10 @@
 ]
 PathSegment = Annotated[str, Field(pattern=r"^[^/]+$", max_length=255)]
 Milliseconds = Annotated[int, Field(ge=0, le=MAXIMUM_TIME_MS)]
+TransferPrice = (
+    Annotated[int, Field(ge=0, le=MAXIMUM_TRANSFER_MS_PER_MB, strict=True)]
+    | Literal["never"]
+)
 Percent = Annotated[int, Field(ge=0, le=FULL_PERCENT)]
 
 
@@ -83,10 +92,18 @@
     drain_ms: Milliseconds
     # Time over which the share of a new endpoint grows to its full size.
     cold_start_ms: Milliseconds
+    # Waiting time that the transfer of a megabyte between data centres is worth;
+    # "never": no new flow leaves its data centre.
+    transfer_ms_per_mb: TransferPrice = DEFAULT_TRANSFER_MS_PER_MB
 
     def to_message(self) -> state_pb2.Preset:
         """Return the message that applies this definition."""
-        return state_pb2.Preset(**self.model_dump(exclude={"schema_"}))
+        price = self.transfer_ms_per_mb
+        cost = TransferCost(None if price == "never" else price)
+        return state_pb2.Preset(
+            **self.model_dump(exclude={"schema_", "transfer_ms_per_mb"}),
+            transfer_cost=encode_transfer_cost(cost),
+        )
 
 
 SERVICE_ADAPTER: Final = TypeAdapter(ServiceDefinition)
--- a/src/lentilfork/cli/presets.py
+++ b/src/lentilfork/cli/presets.py
@@ -1,6 +1,7 @@
 """Commands that list, change and select presets."""
 
 from pathlib import Path
+from typing import Any
 from typing import ClassVar
 
 from cleo.helpers import argument
@@ -20,11 +21,24 @@
 from lentilfork.cli.output import format_table
 from lentilfork.cli.output import to_values
 from lentilfork.errors import Failure
+from lentilfork.schema import state_pb2
 from lentilfork.settings import load_document
+from lentilfork.state.codec import decode_transfer_cost
 
 __all__ = ["PresetApply", "PresetList", "PresetRemove", "PresetUse"]
 
 
+def get_transfer_price(preset: state_pb2.Preset) -> int | str:
+    """Return the transfer cost of a preset as its definition writes it."""
+    price = decode_transfer_cost(preset.transfer_cost).ms_per_mb
+    return "never" if price is None else price
+
+
+def exclude_transfer_cost(values: dict[str, Any]) -> dict[str, Any]:
+    """Return the values of a preset without the message that its price is in."""
+    return {key: value for key, value in values.items() if key != "transfer_cost"}
+
+
 class PresetApply(ChangeCommand):
     """Create or change a preset."""
 
@@ -113,7 +127,8 @@
         active_versions = {active: state.ok_value.active_preset_version}
         presets = [
             {
-                **to_values(preset),
+                **exclude_transfer_cost(to_values(preset)),
+                "transfer_ms_per_mb": get_transfer_price(preset),
                 "active": preset.name == active,
                 "active_version": active_versions.get(preset.name),
             }
@@ -131,6 +146,7 @@
                 preset["hedge_after_ms"],
                 preset["drain_ms"],
                 preset["cold_start_ms"],
+                preset["transfer_ms_per_mb"],
                 preset["version"],
             )
             for preset in presets
@@ -143,6 +159,7 @@
             "HEDGE MS",
             "DRAIN MS",
             "COLD START MS",
+            "TRANSFER MS/MB",
             "VERSION",
         )
         self.print(format_table(headings, rows))
--- a/src/lentilfork/state/codec.py
+++ b/src/lentilfork/state/codec.py
@@ -9,6 +9,7 @@
 from google.protobuf.message import Message
 
 from lentilfork.schema import state_pb2
+from lentilfork.state.model import DEFAULT_TRANSFER_COST
 from lentilfork.state.model import Agent
 from lentilfork.state.model import Balancer
 from lentilfork.state.model import ClaimShard
@@ -16,6 +17,7 @@
 from lentilfork.state.model import Preset
 from lentilfork.state.model import Service
 from lentilfork.state.model import ShardName
+from lentilfork.state.model import TransferCost
 from lentilfork.state.model import Voter
 
 __all__ = [
@@ -26,6 +28,7 @@
     "decode_preset",
     "decode_service",
     "decode_shard_name",
+    "decode_transfer_cost",
     "decode_voter",
     "encode",
     "encode_agent",
@@ -35,6 +38,7 @@
     "encode_preset",
     "encode_service",
     "encode_shard_name",
+    "encode_transfer_cost",
     "encode_voter",
 ]
 
@@ -65,6 +69,30 @@
     )
 
 
+def encode_transfer_cost(cost: TransferCost) -> state_pb2.TransferCost | None:
+    """Return the message of a transfer cost, None for the default.
+
+    Presets without another cost keep the message, and thus the digest, that earlier
+    builds compute.
+    """
+    if cost == DEFAULT_TRANSFER_COST:
+        return None
+    if cost.ms_per_mb is None:
+        return state_pb2.TransferCost(never=True)
+    return state_pb2.TransferCost(ms_per_mb=cost.ms_per_mb)
+
+
+def decode_transfer_cost(message: state_pb2.TransferCost) -> TransferCost:
+    """Return the transfer cost of a message; the default if it has no value."""
+    match message.WhichOneof("cost"):
+        case "ms_per_mb":
+            return TransferCost(message.ms_per_mb)
+        case "never" if message.never:
+            return TransferCost(None)
+        case _:
+            return DEFAULT_TRANSFER_COST
+
+
 def encode_preset(preset: Preset) -> state_pb2.Preset:
     """Return the message of a preset."""
     return state_pb2.Preset(
@@ -76,6 +104,7 @@
         drain_ms=preset.drain_ms,
         cold_start_ms=preset.cold_start_ms,
         version=preset.version,
+        transfer_cost=encode_transfer_cost(preset.transfer_cost),
     )
 
 
@@ -90,6 +119,7 @@
         message.drain_ms,
         message.cold_start_ms,
         message.version,
+        decode_transfer_cost(message.transfer_cost),
     )
 
 
--- a/src/lentilfork/state/model.py
+++ b/src/lentilfork/state/model.py
@@ -11,6 +11,8 @@
 
 __all__ = [
     "BUILT_IN_PRESETS",
+    "DEFAULT_TRANSFER_COST",
+    "DEFAULT_TRANSFER_MS_PER_MB",
     "Agent",
     "Balancer",
     "ClaimShard",
@@ -19,6 +21,7 @@
     "Preset",
     "Service",
     "ShardName",
+    "TransferCost",
     "Voter",
 ]
 
@@ -40,6 +43,21 @@
     version: int
 
 
+@dataclass(frozen=True, slots=True)
+class TransferCost:
+    """Price of the bytes that a flow causes between data centres."""
+
+    # Waiting time that the transfer of a megabyte is worth; None: no new flow leaves
+    # its data centre.
+    ms_per_mb: int | None
+
+
+# A flow with 20 kB of answers then leaves for a gain of more than 20 ms, a small part
+# of any target, so serving callers has priority over saving bytes.
+DEFAULT_TRANSFER_MS_PER_MB: Final = 1_000
+DEFAULT_TRANSFER_COST: Final = TransferCost(DEFAULT_TRANSFER_MS_PER_MB)
+
+
 @dataclass(frozen=True, slots=True)
 class Preset:
     """Limits that apply while this preset is active."""
@@ -59,6 +77,7 @@
     cold_start_ms: int
     # Generation of the last accepted change.
     version: int
+    transfer_cost: TransferCost = DEFAULT_TRANSFER_COST
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/lentilfork/state/validation.py
+++ b/src/lentilfork/state/validation.py
@@ -27,6 +27,7 @@
 MAXIMUM_DEADLINE_MS: Final = 600_000
 MAXIMUM_QUEUE_PER_SLOT: Final = 4_096
 MAXIMUM_TIME_MS: Final = 3_600_000
+MAXIMUM_TRANSFER_MS_PER_MB: Final = 1_000_000
 MAXIMUM_SLOTS: Final = 1_024
 MAXIMUM_SHARD_VOTERS: Final = 5
 MAXIMUM_LONG_PATHS: Final = 64
@@ -116,6 +117,12 @@
         or check_range("hedge_after_ms", preset.hedge_after_ms, 0, MAXIMUM_TIME_MS)
         or check_range("drain_ms", preset.drain_ms, 0, MAXIMUM_TIME_MS)
         or check_range("cold_start_ms", preset.cold_start_ms, 0, MAXIMUM_TIME_MS)
+        or check_range(
+            "transfer_ms_per_mb",
+            preset.transfer_cost.ms_per_mb,
+            0,
+            MAXIMUM_TRANSFER_MS_PER_MB,
+        )
     )
 
 
