--- a/src/lentilfork/forwarding/agent.py
+++ b/src/lentilfork/forwarding/agent.py
@@ -77,6 +77,8 @@
         server: BackendServer,
         counters: Counters,
         flows_complete_since: float,
+        *,
+        places: bool = False,
     ) -> None:
         self.record = record
         self.roster = roster
@@ -89,6 +91,7 @@
         self.idle_timeout_s = 15.0
         self.owner = FlowOwner(
             record.name,
+            record.data_centre,
             codec,
             roster,
             self.exchange.candidates,
@@ -96,7 +99,9 @@
             counters,
             self.decisions,
             self.idle_timeout_s,
+            places=places,
         )
+        self.exchange.watches_evenly = places
         self.delivery = FlowDelivery(
             record.name,
             hash_name(record.service),
@@ -177,6 +182,8 @@
             self.counters.add("datagrams_dropped", "malformed")
             return
         self.loads.record_report(report, now)
+        if self.owner.places:
+            self.owner.placement.record_report(report, now)
 
     def handle_announcement(
         self, announcement: ServerAnnouncement, now: float, age_s: float = 0.0
@@ -262,13 +269,17 @@
 
     def report_load_if_due(self, now: float) -> None:
         """Report the load if it changed, or if the last report is too old."""
+        if self.owner.places:
+            self.owner.placement.busy_share.update(
+                self.flows.running, self.flows.slots, now
+            )
         self.exchange.report_if_due(
             self.flows.outstanding, now, accepting=self.record.accepting
         )
 
     def make_load_report(self, now: float) -> roster_pb2.LoadUpdate:
         """Return a report of the load of the backend server."""
-        return roster_pb2.LoadUpdate(
+        report = roster_pb2.LoadUpdate(
             agent=self.record.name,
             incarnation=self.record.incarnation,
             outstanding=self.flows.outstanding,
@@ -278,12 +289,16 @@
             slow_percent=self.server.get_slow_percent(now),
             failed_percent=round(self.delivery.failures.get_share(now) * FULL_PERCENT),
         )
+        if self.owner.places:
+            self.owner.placement.add_to_report(report, self.flows.running, now)
+        return report
 
     def apply_roster(self, now: float) -> None:
         """Apply a changed roster to the loads and to the owners of open flows."""
         own = self.roster.agents.get(self.record.name)
         self.server.left_before = own is not None and own.server_leaving is True
         self.exchange.apply_roster()
+        self.owner.placement.retain_loads()
         self.delivery.notify_new_owners(now)
 
     def dump(self) -> dict[str, object]:
--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -223,6 +223,8 @@
                 self.confirm_flow(flow, envelope, now)
             if packet.payload_bytes and self.flows.record_request(flow, now):
                 flow.answer_sequence = packet.acknowledgement
+                if self.owner.places:
+                    self.owner.placement.record_request(flow.key)
                 self.decisions.write(
                     "handed over",
                     flow.key,
@@ -256,6 +258,11 @@
     def deliver_to_server(self, packet: FlowPacket, envelope: Envelope) -> None:
         """Send a packet to the backend server; its tag keeps the state of a search."""
         self.counters.add("packets_delivered")
+        if self.owner.places:
+            key = make_caller_key(packet)
+            self.owner.placement.record_packet(
+                packet, key, envelope.ingress, "to_server"
+            )
         self.send_to_server(self.codec.write_tag(packet.data, encode_tag(envelope)))
 
     def send_searched(self, data: bytes, address: SocketName) -> None:
@@ -297,6 +304,8 @@
         self.flows.record_use(flow, now)
         self.record_progress(flow, packet, now)
         self.counters.add("packets_answered")
+        if self.owner.places:
+            self.owner.placement.record_packet(packet, key, flow.ingress, "to_caller")
         self.send_to_caller(data, packet.destination)
 
     def record_progress(self, flow: Flow, packet: FlowPacket, now: float) -> None:
--- a/src/lentilfork/forwarding/load_exchange.py
+++ b/src/lentilfork/forwarding/load_exchange.py
@@ -19,6 +19,7 @@
 from lentilfork.forwarding.packets import hash_name
 from lentilfork.forwarding.roster import AgentRecord
 from lentilfork.forwarding.roster import Roster
+from lentilfork.forwarding.watched_agents import choose_evenly
 from lentilfork.schema import roster_pb2
 
 __all__ = ["LoadExchange", "choose_watched"]
@@ -70,6 +71,8 @@
     data_centre: str
     roster: Roster
     loads: LoadTable
+    # Whether the watched agents are chosen by `choose_evenly`.
+    watches_evenly: bool
     # The watched agents and this one: those that are compared for new flows.
     candidates: Roster
     # Start of each watched agent that this one has subscribed to, by name.
@@ -104,6 +107,7 @@
         self.roster = roster
         self.loads = loads
         self.make_report = make_report
+        self.watches_evenly = False
         self.candidates = Roster()
         self.subscribed = {}
         self.subscribers = {}
@@ -117,7 +121,8 @@
     def apply_roster(self) -> None:
         """Choose the watched agents again and subscribe to those that are new."""
         agents = self.roster.list_agents(self.service)
-        watched = choose_watched(self.name, self.data_centre, agents)
+        choose = choose_evenly if self.watches_evenly else choose_watched
+        watched = choose(self.name, self.data_centre, agents)
         own = [agent for agent in agents if agent.name == self.name]
         self.candidates.replace(watched + own)
         for agent in watched:
--- a/src/lentilfork/forwarding/ownership.py
+++ b/src/lentilfork/forwarding/ownership.py
@@ -23,6 +23,7 @@
 from lentilfork.forwarding.envelopes import Envelope
 from lentilfork.forwarding.envelopes import Kind
 from lentilfork.forwarding.envelopes import encode_envelope
+from lentilfork.forwarding.flow_placement import FlowPlacement
 from lentilfork.forwarding.loads import LoadTable
 from lentilfork.forwarding.packets import FlowPacket
 from lentilfork.forwarding.packets import PacketCodec
@@ -87,6 +88,9 @@
     # The agents that are compared for new flows.
     candidates: Roster
     loads: LoadTable
+    placement: FlowPlacement
+    # Whether flows are placed by the state of the data centres, see `FlowPlacement`.
+    places: bool
     directory: Directory
     # Pending offers by flow key, ordered by the time of the last offer.
     offers: OrderedDict[bytes, Offer]
@@ -103,6 +107,7 @@
     def __init__(
         self,
         name: str,
+        data_centre: str,
         codec: PacketCodec,
         roster: Roster,
         candidates: Roster,
@@ -110,12 +115,18 @@
         counters: Counters,
         decisions: DecisionLog,
         idle_timeout_s: float,
+        *,
+        places: bool = False,
     ) -> None:
         self.name = name
         self.codec = codec
         self.roster = roster
         self.candidates = candidates
         self.loads = loads
+        self.placement = FlowPlacement(
+            name, data_centre, roster, candidates, loads, counters
+        )
+        self.places = places
         self.directory = Directory(idle_timeout_s)
         self.offers = OrderedDict()
         self.contests = OrderedDict()
@@ -198,8 +209,13 @@
         """Return the agent that a new flow should be offered to.
 
         `excluded` lists the names of agents that are not considered; `all_agents`
-        compares every candidate instead of a few.
+        compares every candidate instead of a few, or says that the flow would be
+        refused in its data centre.
         """
+        if self.places:
+            return self.placement.choose(
+                envelope, key, excluded, now, near_refused=all_agents
+            )
         service, ingress = envelope.service, envelope.ingress
         return choose_agent(
             self.candidates.rank_owners(service, ingress, key),
@@ -251,6 +267,10 @@
             self.directory.record(key, choice.agent.name, now)
         self.loads.record_placement(choice.agent.name)
         self.counters.add("flows_placed")
+        if choice.crossing:
+            self.counters.add("flows_left_data_centre", choice.crossing)
+        if self.places:
+            self.placement.record_placement(choice.agent.name, key, now)
         self.decisions.write(
             "placed",
             key,
--- a/src/lentilfork/forwarding/placement.py
+++ b/src/lentilfork/forwarding/placement.py
@@ -17,7 +17,7 @@
 from lentilfork.forwarding.packets import hash_name
 from lentilfork.forwarding.roster import AgentRecord
 
-__all__ = ["Choice", "choose_agent"]
+__all__ = ["Choice", "choose_agent", "find_earliest"]
 
 # Added to the estimate of an agent in another data centre, so that a nearer agent is
 # preferred if both answers are expected at about the same time.
@@ -43,6 +43,8 @@
     expected_s: float
     # Whether the agent has a slot in which the request would run immediately.
     has_free_slot: bool = False
+    # Why the flow leaves its data centre; "" if it stays, or if that is not known.
+    crossing: str = ""
 
 
 def choose_agent(
--- a/src/lentilfork/forwarding/processes.py
+++ b/src/lentilfork/forwarding/processes.py
@@ -321,6 +321,7 @@
             BackendServer(settings.service, settings.server_interval_s),
             self.counters,
             now + MAXIMUM_FLOW_AGE_S,
+            places=settings.places,
         )
         self.membership.agent = record
         self.roster.listeners.append(lambda: self.agent.apply_roster(time.monotonic()))
--- a/src/lentilfork/forwarding/settings.py
+++ b/src/lentilfork/forwarding/settings.py
@@ -55,6 +55,8 @@
     server_interval_s: float
     # Time from the signal to stop until the process is killed.
     grace_s: float
+    # Whether flows are placed by the state of the data centres and by measured speed.
+    places: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/forwarding/simulation.py
+++ b/tests/forwarding/simulation.py
@@ -6,7 +6,9 @@
 """
 
 import heapq
+import math
 import random
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
@@ -23,6 +25,8 @@
 from lentilfork.forwarding.balancer import FlowBalancer
 from lentilfork.forwarding.decisions import DecisionLog
 from lentilfork.forwarding.delivery import MAXIMUM_FLOW_AGE_S
+from lentilfork.forwarding.envelopes import Kind
+from lentilfork.forwarding.envelopes import decode_envelope
 from lentilfork.forwarding.envelopes import read_kind
 from lentilfork.forwarding.packets import PacketFlags
 from lentilfork.forwarding.roster import AgentRecord
@@ -32,6 +36,8 @@
 from lentilfork.platform.header import HEADER
 from lentilfork.platform.header import HeaderCodec
 from lentilfork.schema import state_pb2
+from lentilfork.state.model import DEFAULT_TRANSFER_COST
+from lentilfork.state.model import TransferCost
 
 SERVICE = "chairs"
 ADDRESS = 0xC6120001
@@ -74,7 +80,13 @@
     return header + payload
 
 
-def make_routes(version: int, weights: dict[str, int]) -> RouteIndex:
+def make_routes(
+    version: int,
+    weights: dict[str, int],
+    *,
+    target_ms: int = 100,
+    deadline_ms: int = 1000,
+) -> RouteIndex:
     """Return a table with one route to services with the given weights."""
     return index_routes(
         state_pb2.RouteTable(
@@ -87,8 +99,8 @@
                         state_pb2.Target(service=service, weight=weight)
                         for service, weight in weights.items()
                     ],
-                    deadline_ms=1000,
-                    target_ms=100,
+                    deadline_ms=deadline_ms,
+                    target_ms=target_ms,
                     priority=1,
                 )
             ],
@@ -104,6 +116,10 @@
     port: int
     sequence: int | None = None
     ended: bool = False
+    # Number of answers received on this flow.
+    answers: int = 0
+    # Data centres of the servers that ran its requests.
+    served_in: set[str] = field(default_factory=set)
 
 
 @dataclass
@@ -118,6 +134,13 @@
     tries: int = 0
     refused: int = 0
     runs: int = 0
+    # Requests that are sent on one flow, each this long after the last answer.
+    rounds: int = 1
+    pause_s: float = 0.05
+    answer_bytes: int = 6
+    request_bytes: int = 7
+    # Time of the first answer.
+    first_answered_s: float | None = None
 
     @property
     def latency_s(self) -> float:
@@ -135,8 +158,8 @@
     speed: float
     slots: int
     flows: dict[tuple[int, int], int] = field(default_factory=dict)
-    # Ports of the flows whose request has arrived; later copies are not run.
-    received: set[int] = field(default_factory=set)
+    # Ports and sequence numbers of requests that have arrived; copies are not run.
+    received: set[tuple[int, int]] = field(default_factory=set)
     running: int = 0
     queue: list[Attempt] = field(default_factory=list)
     busy_s: float = 0.0
@@ -165,8 +188,11 @@
             self.send_packet(caller, SYN_BIT | ACK_BIT, sequence)
         elif caller not in self.flows:
             self.reject(data)
-        elif packet.payload_bytes and packet.source_port not in self.received:
-            self.received.add(packet.source_port)
+        elif (
+            packet.payload_bytes
+            and (packet.source_port, packet.sequence) not in self.received
+        ):
+            self.received.add((packet.source_port, packet.sequence))
             self.run_request(self.host.world.attempts[packet.source_port])
 
     def reject(self, data: bytes) -> None:
@@ -187,7 +213,8 @@
         """Send an answer; the packet that ends the flow overtakes the payload."""
         caller = (attempt.port, attempt.port)
         sequence = self.flows.get(caller, 0) + 1
-        self.send_packet(caller, ACK_BIT | FIN_BIT, sequence + len(payload))
+        if attempt.answers + 1 >= attempt.request.rounds:
+            self.send_packet(caller, ACK_BIT | FIN_BIT, sequence + len(payload))
         self.send_packet(caller, ACK_BIT, sequence, payload)
 
     def run_request(self, attempt: Attempt) -> None:
@@ -200,6 +227,7 @@
             return
         self.running += 1
         attempt.request.runs += 1
+        attempt.served_in.add(self.host.data_centre)
         work_s = attempt.request.work_s / self.speed
         self.busy_s += work_s
         self.host.world.clock.call_in(work_s, lambda: self.finish_request(attempt))
@@ -209,7 +237,7 @@
         self.running -= 1
         if self.down:
             return
-        self.send_answer(attempt, b"answer")
+        self.send_answer(attempt, b"answer".ljust(attempt.request.answer_bytes))
         if self.queue:
             self.run_request(self.queue.pop(0))
 
@@ -248,11 +276,18 @@
             subscribes=True,
         )
         self.agent = FlowAgent(
-            record, CODEC, self.roster, BackendServer(service, 1.0), Counters(), 0.0
+            record,
+            CODEC,
+            self.roster,
+            BackendServer(service, 1.0),
+            Counters(),
+            0.0,
+            places=world.places,
         )
+        self.agent.owner.placement.transfer_cost = world.transfer_cost
         self.agent.connect(
             self.send,
-            world.send_to_caller,
+            self.send_to_caller,
             self.send_to_server,
             world.schedule_roster_update,
             self.schedule_report,
@@ -270,6 +305,12 @@
         if not self.down:
             self.world.send(data, self.address, self.data_centre, address)
 
+    def send_to_caller(self, data: bytes, address: int) -> None:
+        """Send a packet to a caller, which is in the data centre of its balancer."""
+        if not self.down:
+            self.world.count_answer(data, self.data_centre)
+            self.world.send_to_caller(data, address)
+
     def send_to_server(self, data: bytes) -> None:
         """Deliver a packet to the backend server."""
         self.call_later(lambda: self.server.handle_packet(data))
@@ -319,7 +360,30 @@
 class World:
     """Simulated deployment in virtual time."""
 
-    def __init__(self, speeds: list[float], slots: int = 1, seed: int = 1) -> None:
+    def __init__(
+        self,
+        speeds: list[float],
+        slots: int = 1,
+        seed: int = 1,
+        *,
+        places: bool = False,
+        transfer_cost: TransferCost = DEFAULT_TRANSFER_COST,
+        target_ms: int = 100,
+        deadline_ms: int = 1000,
+    ) -> None:
+        self.places = places
+        self.transfer_cost = transfer_cost
+        self.routes = make_routes(
+            1, {SERVICE: 1}, target_ms=target_ms, deadline_ms=deadline_ms
+        )
+        # Pairs of data centres whose links are cut, and data centres whose load
+        # reports are lost on their way to other ones.
+        self.cut_links: set[frozenset[str]] = set()
+        self.silent: set[str] = set()
+        # Bytes and packets of flows between data centres, by port of the caller.
+        self.crossing_bytes: Counter[int] = Counter()
+        self.crossing_packets: Counter[int] = Counter()
+        self.crossing_report_bytes = 0
         self.rng = random.Random(seed)
         self.clock = VirtualClock()
         self.hosts: dict[str, AgentHost] = {}
@@ -347,7 +411,7 @@
     def make_balancer(self, data_centre: str) -> FlowBalancer:
         """Return a balancer whose table has one route."""
         balancer = FlowBalancer(CODEC, Roster(), data_centre, Counters(), DecisionLog())
-        balancer.routes = make_routes(1, {SERVICE: 1})
+        balancer.routes = self.routes
 
         def send(data: bytes, address: tuple[str, int]) -> None:
             self.send(data, (data_centre, 0), data_centre, address)
@@ -426,9 +490,42 @@
     ) -> None:
         """Transmit a datagram between hosts."""
         host = self.hosts.get(address[0])
-        if host is not None:
-            delay_s = DELAY_S if host.data_centre == data_centre else FAR_DELAY_S
-            self.clock.call_in(delay_s, lambda: host.handle_datagram(data, sender))
+        if host is None:
+            return
+        is_far = host.data_centre != data_centre
+        if is_far and self.loses(data, data_centre, host.data_centre):
+            return
+        if is_far:
+            self.count_crossing(data)
+        delay_s = FAR_DELAY_S if is_far else DELAY_S
+        self.clock.call_in(delay_s, lambda: host.handle_datagram(data, sender))
+
+    def loses(self, data: bytes, sender: str, receiver: str) -> bool:
+        """Return whether a datagram between two data centres is lost."""
+        return frozenset((sender, receiver)) in self.cut_links or (
+            sender in self.silent and read_kind(data) is Kind.LOAD
+        )
+
+    def count_crossing(self, data: bytes) -> None:
+        """Count a datagram between two data centres."""
+        if read_kind(data) in {Kind.ROUTE, Kind.DELIVER, Kind.SEARCH_BACK}:
+            envelope = decode_envelope(data)
+            packet = CODEC.parse(envelope.data) if envelope else None
+            assert packet is not None
+            self.crossing_bytes[packet.source_port] += len(data)
+            self.crossing_packets[packet.source_port] += 1
+        elif read_kind(data) is Kind.LOAD:
+            self.crossing_report_bytes += len(data)
+
+    def count_answer(self, data: bytes, data_centre: str) -> None:
+        """Count a packet from a host to a caller if it crosses data centres."""
+        packet = CODEC.parse(data)
+        assert packet is not None
+        port = packet.destination_port
+        attempt = self.attempts.get(port)
+        if attempt and attempt.request.data_centre != data_centre:
+            self.crossing_bytes[port] += len(data)
+            self.crossing_packets[port] += 1
 
     def send_to_caller(self, data: bytes, _address: int) -> None:
         """Transmit a packet to its caller."""
@@ -490,8 +587,21 @@
             attempt.ended = True
             self.clock.call_in(0.01, lambda: self.start_attempt(attempt.request))
         elif packet.payload_bytes:
+            self.handle_answer(attempt)
+
+    def handle_answer(self, attempt: Attempt) -> None:
+        """Handle an answer: send the next request on the flow, or end the flow."""
+        request = attempt.request
+        attempt.answers += 1
+        if request.first_answered_s is None:
+            request.first_answered_s = self.clock.now
+        if attempt.answers < request.rounds:
+            self.clock.call_in(
+                request.pause_s, lambda: self.send_request(attempt, RETRANSMIT_S)
+            )
+        else:
             attempt.ended = True
-            attempt.request.answered_s = self.clock.now
+            request.answered_s = self.clock.now
             self.send_subsequent(attempt, ACK_BIT | FIN_BIT, b"")
 
     def handle_reset(self, attempt: Attempt) -> None:
@@ -507,8 +617,9 @@
         request = attempt.request
         if attempt.ended or self.clock.now > request.at_s + request.deadline_s:
             return
-        if request.runs < request.tries:
-            self.send_subsequent(attempt, ACK_BIT, b"request")
+        if request.runs < request.tries + attempt.answers:
+            payload = b"request".ljust(request.request_bytes)
+            self.send_subsequent(attempt, ACK_BIT, payload)
             self.clock.call_in(
                 retry_after_s,
                 lambda: self.send_request(attempt, min(retry_after_s * 2, 1.6)),
@@ -519,7 +630,14 @@
         assert attempt.sequence is not None
         caller = (attempt.port, attempt.port)
         acknowledgement = (attempt.sequence + 1) % (1 << 32)
-        data = make_packet(caller, (ADDRESS, PORT), flags, 8, acknowledgement, payload)
+        data = make_packet(
+            caller,
+            (ADDRESS, PORT),
+            flags,
+            8 + attempt.answers,
+            acknowledgement,
+            payload,
+        )
         self.send_from_caller(attempt.request.data_centre, data)
 
     def add_load(
@@ -542,6 +660,28 @@
         return added
 
 
+def draw_wave(
+    world: World,
+    mean_per_s: float,
+    amplitude: float,
+    period_s: float,
+    phase: float,
+    from_s: float,
+    until_s: float,
+) -> list[float]:
+    """Return arrival times at a rate that oscillates by a share of its mean.
+
+    `phase` is in periods.
+    """
+    times = []
+    at_s, highest_per_s = from_s, mean_per_s * (1 + amplitude)
+    while (at_s := at_s + world.rng.expovariate(highest_per_s)) < until_s:
+        wave = math.sin(2 * math.pi * (at_s / period_s + phase))
+        if world.rng.random() * (1 + amplitude) < 1 + amplitude * wave:
+            times.append(at_s)
+    return times
+
+
 def get_percentile(values: list[float], percent: float) -> float:
     """Return the percentile `percent` of values."""
     ordered = sorted(values)
@@ -576,6 +716,7 @@
     "AgentHost",
     "Request",
     "World",
+    "draw_wave",
     "get_percentile",
     "make_packet",
     "make_routes",
