--- a/tests/forwarding/simulation.py
+++ b/tests/forwarding/simulation.py
@@ -661,7 +661,7 @@
 
 
 def draw_wave(
-    world: World,
+    rng: random.Random,
     mean_per_s: float,
     amplitude: float,
     period_s: float,
@@ -675,9 +675,9 @@
     """
     times = []
     at_s, highest_per_s = from_s, mean_per_s * (1 + amplitude)
-    while (at_s := at_s + world.rng.expovariate(highest_per_s)) < until_s:
+    while (at_s := at_s + rng.expovariate(highest_per_s)) < until_s:
         wave = math.sin(2 * math.pi * (at_s / period_s + phase))
-        if world.rng.random() * (1 + amplitude) < 1 + amplitude * wave:
+        if rng.random() * (1 + amplitude) < 1 + amplitude * wave:
             times.append(at_s)
     return times
 
--- /dev/null
+++ b/tests/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `lentilfork.scheduling`."""
