--- a/src/lentilfork/scheduling/placement.py
+++ b/src/lentilfork/scheduling/placement.py
@@ -28,8 +28,8 @@
 
 # Share of the target within which an answer is expected well in time. Single requests
 # take up to 7 times the mean, so the expected time of a queue of six requests is
-# exceeded by two thirds now and then. With 0.3, callers out of phase were late in 0.0095
-# of the cases instead of 0.0039.
+# exceeded by two thirds now and then. With 0.3, 0.0095 of the callers in waves out of
+# phase were late, with 0.25 it was 0.0039.
 WELL_IN_TIME_SHARE: Final = 0.25
 # Mean wait, as a share of the target, up to which a data centre takes flows of others.
 # It is well below the share at which its own flows leave, so that no two data centres
