--- a/src/lentilfork/forwarding/agent.py
+++ b/src/lentilfork/forwarding/agent.py
@@ -99,6 +99,8 @@
         evacuations: EvacuationView | None = None,
         bounds: WarmUpBounds | None = None,
         started_at: float = 0.0,
+        *,
+        places: bool = False,
     ) -> None:
         self.record = record
         self.roster = roster
@@ -118,6 +120,7 @@
         self.shortest_target_s = 0.0
         self.owner = FlowOwner(
             record.name,
+            record.data_centre,
             codec,
             roster,
             self.exchange.candidates,
@@ -126,8 +129,11 @@
             self.decisions,
             self.idle_timeout_s,
             self.guard.evacuations,
+            places=places,
         )
         self.owner.admission.times = self.flows.times
+        self.owner.placement.times = self.flows.times
+        self.exchange.watches_evenly = places
         self.delivery = FlowDelivery(
             record.name,
             hash_name(record.service),
@@ -237,6 +243,8 @@
             self.flows.service_time_s = self.loads.get_median_service_time_s(
                 {agent.name for agent in peers}
             )
+        if self.owner.places:
+            self.owner.placement.record_report(report, now)
 
     def handle_announcement(
         self, announcement: ServerAnnouncement, now: float, age_s: float = 0.0
@@ -355,7 +363,7 @@
 
     def make_load_report(self, now: float) -> roster_pb2.LoadUpdate:
         """Return a report of the load of the backend server."""
-        return roster_pb2.LoadUpdate(
+        report = roster_pb2.LoadUpdate(
             agent=self.record.name,
             incarnation=self.record.incarnation,
             outstanding=self.flows.outstanding,
@@ -372,12 +380,16 @@
             openings_left=self.guard.limit.count_openings(now),
             evacuated=self.guard.is_evacuated,
         )
+        if self.owner.places:
+            self.owner.placement.add_to_report(report, now)
+        return report
 
     def apply_roster(self, now: float) -> None:
         """Apply a changed roster to the loads and to the owners of open flows."""
         own = self.roster.agents.get(self.record.name)
         self.server.left_before = own is not None and own.server_leaving is True
         self.exchange.apply_roster()
+        self.owner.placement.retain_loads()
         self.delivery.notify_new_owners(now)
 
     def dump(self) -> dict[str, object]:
--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -312,6 +312,8 @@
     def deliver_to_server(self, packet: FlowPacket, envelope: Envelope) -> None:
         """Send a packet to the backend server; its tag keeps the state of a search."""
         self.counters.add("packets_delivered")
+        if self.owner.places:
+            self.owner.placement.count_crossing(packet, envelope.ingress, "to_server")
         self.send_to_server(self.codec.write_tag(packet.data, encode_tag(envelope)))
 
     def send_searched(self, data: bytes, address: SocketName) -> None:
@@ -354,6 +356,8 @@
         flow.route.bytes_sent += len(data)
         self.record_progress(flow, packet, now)
         self.counters.add("packets_answered")
+        if self.owner.places:
+            self.owner.placement.count_crossing(packet, flow.ingress, "to_caller")
         self.send_to_caller(data, packet.destination)
 
     def record_progress(self, flow: Flow, packet: FlowPacket, now: float) -> None:
--- a/src/lentilfork/forwarding/processes.py
+++ b/src/lentilfork/forwarding/processes.py
@@ -335,6 +335,7 @@
             self.membership.evacuations,
             make_bounds(settings),
             now,
+            places=settings.places,
         )
         self.membership.agent = record
         self.roster.listeners.append(lambda: self.agent.apply_roster(time.monotonic()))
--- a/src/lentilfork/scheduling/service_times.py
+++ b/src/lentilfork/scheduling/service_times.py
@@ -22,6 +22,14 @@
 # Requests after which the sums of a route are halved, so that they cover the latest
 # few hundred requests.
 HALVING_REQUESTS: Final = 512
+# Flows of a route that were seen before its means of flows are used.
+MINIMUM_FLOWS: Final = 5
+# A caller may send a second request on a flow now and then without the flow being
+# long: a request that is sent again after a lost answer counts as another one.
+LONG_FLOW_REQUESTS: Final = 1.5
+# Bytes of a flow of a route that is not known yet: the packets that open and end it
+# and a short answer.
+DEFAULT_FLOW_BYTES: Final = 1_500.0
 
 
 class RouteWork:
@@ -59,6 +67,19 @@
         """Mean number of requests that a flow sends; 1 if it is not known."""
         return self.requests / self.flows if self.flows >= 1 else 1.0
 
+    @property
+    def has_long_flows(self) -> bool:
+        """Whether flows of this route usually send several requests."""
+        enough = self.flows >= MINIMUM_FLOWS
+        return enough and self.requests_per_flow >= LONG_FLOW_REQUESTS
+
+    @property
+    def bytes_per_flow(self) -> float:
+        """Mean bytes of a flow in both directions."""
+        if self.flows < MINIMUM_FLOWS:
+            return DEFAULT_FLOW_BYTES
+        return (self.bytes_received + self.bytes_sent) / self.flows
+
     @property
     def received_per_request(self) -> float:
         """Mean bytes from the caller for one request; 0 if they are not known."""
--- a/tests/scheduling/test_service_times.py
+++ b/tests/scheduling/test_service_times.py
@@ -118,3 +118,21 @@
     for number in range(5):
         start_request(flows, PAGES, number, 20.0)
     assert flows.busy_share(30.0) == pytest.approx(1.0, abs=0.01)
+
+
+# Guards against long flows that are taken for short ones, and the reverse after a
+# single retry.
+def test_route_with_many_requests_on_a_flow_has_long_flows() -> None:
+    route = RouteWork()
+    for number in range(40):
+        route.record_request(first=True)
+        route.bytes_sent += 1_000
+        if number % 10 == 0:
+            route.record_request(first=False)
+    assert not route.has_long_flows
+    assert route.bytes_per_flow == pytest.approx(1_000)
+    for _ in range(40):
+        route.record_request(first=True)
+        for _ in range(19):
+            route.record_request(first=False)
+    assert route.has_long_flows
