--- a/src/lentilfork/forwarding/flows.py
+++ b/src/lentilfork/forwarding/flows.py
@@ -39,8 +39,8 @@
 # server.
 CLOSED_LIFETIME_S: Final = 5.0
 # Time constant of the moving mean of the slots in use. It covers some fifty requests of
-# a slot, and a burst of a few seconds still shows in it.
-BUSY_TIME_S: Final = 2.0
+# 20 ms, and a burst of a second still shows in it.
+BUSY_TIME_S: Final = 1.0
 # Largest distance of a sequence number from the flow's first one: more than any answer,
 # and small enough that a number of another flow is unlikely to match.
 MAXIMUM_ANSWER_BYTES: Final = 1 << 26
--- a/tests/forwarding/test_far_placement.py
+++ b/tests/forwarding/test_far_placement.py
@@ -108,7 +108,7 @@
 @pytest.mark.parametrize(
     "pattern",
     [WAVES_OUT_OF_PHASE, BURST_WITH_ROOM, BURST_WITHOUT_ROOM, ALL_AT_THEIR_LIMIT],
-    ids=["waves out of phase", "burst with room", "burst without room", "all at limit"],
+    ids=["waves-out-of-phase", "burst-with-room", "burst-without-room", "all-at-limit"],
 )
 def test_serves_as_many_in_time_as_both_baselines_at_fewer_bytes(
     pattern: Pattern,
