forwarding: search an unknown flow although the own server drops its packets

Cause, suspected: the owner's agent had restarted, so it delivers packets of unknown flows to its own server first. A server that was offered the flow too, and not chosen by the caller, holds it half open and drops the packets without rejecting them, so no search begins. Change: such packets go to the own server and to the next agent in turn. Result: the new test failed before (no packet was passed on) and passes; delivery, resets, offers and route changes: 81 passed.

--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -236,10 +236,13 @@
         self, envelope: Envelope, packet: FlowPacket, now: float
     ) -> None:
         """Deliver a packet of an open flow if the backend server may hold the flow."""
-        flow = self.flows.find(make_caller_key(packet))
+        key = make_caller_key(packet)
+        flow = self.flows.find(key)
         if flow is None:
             envelope = self.search_other_services(envelope, packet, now)
-            if now >= self.flows_complete_since:
+            if now >= self.flows_complete_since or (
+                envelope.hops == 0 and self.search.is_next_elsewhere(key)
+            ):
                 self.search.forward_to_next_agent(packet, envelope)
                 return
         elif not flow.accepts_acknowledgement(packet.acknowledgement):
--- a/src/lentilfork/forwarding/search.py
+++ b/src/lentilfork/forwarding/search.py
@@ -58,6 +58,9 @@
     send: Callable[[bytes, SocketName], None]
     # Whether the last search for a flow that began here was in reverse order.
     directions: OrderedDict[bytes, bool]
+    # Unknown flows whose last packet went to the server on this host, which hasn't
+    # rejected it or answered yet.
+    delivered: OrderedDict[bytes, None]
 
     def __init__(
         self,
@@ -75,6 +78,22 @@
         self.decisions = decisions
         self.send = send
         self.directions = OrderedDict()
+        self.delivered = OrderedDict()
+
+    def is_next_elsewhere(self, key: bytes) -> bool:
+        """Return whether the next packet of an unknown flow is for other agents.
+
+        A server that was offered the flow but not chosen by its caller holds it half
+        open, and drops its packets without rejecting them. So packets go to the server
+        on this host and to the next agent in turn.
+        """
+        if key in self.delivered:
+            del self.delivered[key]
+            return True
+        self.delivered[key] = None
+        if len(self.delivered) > MAXIMUM_SEARCHES:
+            self.delivered.popitem(last=False)
+        return False
 
     def choose_direction(self, key: bytes) -> Kind:
         """Return the kind of envelope for a search that begins here.
--- a/tests/forwarding/test_delivery.py
+++ b/tests/forwarding/test_delivery.py
@@ -66,6 +66,25 @@
     assert world.resets_of_open_flows == 0
 
 
+# Guards against flows that a restarted owner never finds: its own server, which was
+# offered them too, holds them half open and drops their packets without rejecting them.
+def test_unknown_flow_is_searched_although_the_own_server_drops_its_packets() -> None:
+    world = World([1.0] * 4)
+    host = world.hosts["agent-0"]
+    host.agent.delivery.flows_complete_since = 60.0
+    host.server.down = True
+    packet = make_packet((9, 9), (0xC6120001, 443), ACK, 5, 5, b"x")
+    envelope = Envelope(
+        Kind.ROUTE, 0, hash_name(SERVICE), hash_name("north"), 1000, 100, 1, packet
+    )
+    passed_on = []
+    for _ in range(4):
+        host.handle_datagram(encode_envelope(envelope), ("north", 0))
+        world.clock.run(world.clock.now + 0.2)
+        passed_on.append(host.agent.counters.get("packets_passed_on"))
+    assert passed_on == [0, 1, 1, 2]
+
+
 def test_flow_lost_by_its_server_is_reset() -> None:
     world = World([1.0] * 3)
     request = open_long_flow(world)
