forwarding: watch different agents from an evacuated data centre

Cause: the owners' places in the ring of their data centre were computed among its available agents; none is available there, so all of them watched the same seven agents elsewhere. Change: the place counts all agents of the data centre, seven agents elsewhere are chosen evenly if there is none nearby, and the rest is filled in an order of each agent's own.

--- a/src/lentilfork/forwarding/watched_agents.py
+++ b/src/lentilfork/forwarding/watched_agents.py
@@ -9,7 +9,6 @@
 from collections.abc import Collection
 from collections.abc import Sequence
 from itertools import chain
-from itertools import islice
 from typing import Final
 
 import xxhash
@@ -44,19 +43,19 @@
         and agent.data_centre not in evacuated
     ]
     rings = make_rings(available)
-    position = find_position(name, rings.get(data_centre, []))
-    nearby = choose_nearby(rings.pop(data_centre, []), position)
-    remote = choose_remote(rings, position)
+    ring = rings.pop(data_centre, [])
+    # Neighbours have different positions also while none of them is available.
+    own = [agent for agent in agents if agent.data_centre == data_centre]
+    remote_position = find_position(name, own)
+    nearby = choose_nearby(ring, find_position(name, ring))
+    remote = choose_remote(rings, remote_position, NEARBY + REMOTE - len(nearby))
     chosen = nearby + remote
-    rest = chain(available, (agent for agent in agents if agent.name != name))
-    missing = NEARBY + REMOTE - len(chosen)
-    others = (agent for agent in unique(rest) if agent not in chosen)
-    return chosen + list(islice(others, missing))
-
-
-def unique(agents: chain[AgentRecord]) -> list[AgentRecord]:
-    """Return agents without repetitions, in their first order."""
-    return list({agent.name: agent for agent in agents}.values())
+    names = {agent.name for agent in chosen} | {name}
+    others = sorted(
+        (agent for agent in agents if agent.name not in names),
+        key=lambda agent: (not agent.is_available, hash_position(name + agent.name)),
+    )
+    return chosen + others[: NEARBY + REMOTE - len(chosen)]
 
 
 def hash_position(name: str) -> int:
@@ -90,12 +89,14 @@
     return [ring[(position + distance - 1) % len(ring)] for distance in distances]
 
 
-def choose_remote(rings: dict[str, Ring], position: int) -> list[AgentRecord]:
+def choose_remote(
+    rings: dict[str, Ring], position: int, count: int
+) -> list[AgentRecord]:
     """Return agents of the other data centres, in turn, starting at the position."""
     ordered = [rings[name] for name in sorted(rings)]
     total = sum(map(len, ordered))
     chosen: list[AgentRecord] = []
-    for number in range(min(REMOTE, total)):
+    for number in range(min(count, total)):
         # Neighbours in the own ring divide each other ring among themselves.
         first = (position + number) % len(ordered)
         in_turn = chain(ordered[first:], ordered[:first])
--- a/tests/forwarding/evacuations.py
+++ b/tests/forwarding/evacuations.py
@@ -43,7 +43,14 @@
     rate = COLD_RATE
     awaits_majority = True
 
-    def __init__(self, speeds: list[float], seed: int = 1) -> None:
+    def __init__(
+        self,
+        speeds: list[float],
+        seed: int = 1,
+        *,
+        places: bool = False,
+        target_ms: int = 100,
+    ) -> None:
         self.evacuated: frozenset[str] = frozenset()
         self.version = 0
         # Times at which evacuations began and ended: data centre, version, begin, end.
@@ -52,7 +59,7 @@
         self.told_at: dict[tuple[str, int], float] = {}
         self.report_loss = 0.0
         self.roster_update_scheduled = False
-        super().__init__(speeds, seed=seed)
+        super().__init__(speeds, seed=seed, places=places, target_ms=target_ms)
 
     def add_host(self, *args: object, **options: object) -> AgentHost:
         """Add a host and tell its agent the evacuations."""
--- a/tests/forwarding/test_evacuation_days.py
+++ b/tests/forwarding/test_evacuation_days.py
@@ -94,6 +94,23 @@
     assert world.resets_of_open_flows == 0
 
 
+# Guards against owners of an evacuated data centre that all watch the same few servers
+# elsewhere: one of 42 servers got nearly half of its flows.
+def test_flows_of_an_evacuated_data_centre_go_to_many_servers() -> None:
+    world = EvacuationWorld([1.0] * 42, places=True, target_ms=300)
+    requests = world.add_load(0.45 * 42 / 0.022, 1, 5, 0.022)
+    world.clock.run(1.5)
+    world.evacuate(EVACUATED)
+    world.clock.run(7)
+    counts = [
+        sum(2.0 <= at_s < 5.0 for at_s, _ in world.hosts[name].server.syns)
+        for name in world.hosts
+        if name not in list_agents(world, EVACUATED)
+    ]
+    assert max(counts) <= 2 * sum(counts) / len(counts)
+    assert compute_timely_share(requests, 2.0, 5.0) > 0.95
+
+
 # Guards against cold servers that leave their quota unused while callers are refused.
 def test_cold_servers_use_their_quota_under_overload() -> None:
     world = EvacuationWorld(make_speeds(9))
--- a/tests/forwarding/test_watched_agents.py
+++ b/tests/forwarding/test_watched_agents.py
@@ -23,3 +23,21 @@
         )
     assert len(set(watchers.values())) == 1
     assert len(watchers) == agents
+
+
+# Guards against owners of an evacuated data centre that all watch the same servers.
+def test_agents_elsewhere_are_watched_evenly_from_an_evacuated_data_centre() -> None:
+    records = make_records(42)
+    evacuated = records[0].data_centre
+    watchers: Counter[str] = Counter()
+    for record in records:
+        if record.data_centre == evacuated:
+            watched = choose_evenly(
+                record.name, record.data_centre, records, (evacuated,)
+            )
+            watchers.update(agent.name for agent in watched)
+    assert evacuated not in {
+        record.data_centre for record in records if record.name in watchers
+    }
+    assert len(watchers) == 28
+    assert max(watchers.values()) <= 2 * sum(watchers.values()) / len(watchers)
