--- a/src/lentilfork/scheduling/shedding.py
+++ b/src/lentilfork/scheduling/shedding.py
@@ -35,7 +35,7 @@
 # Higher priority numbers are ranked like the last of these.
 PRIORITIES: Final = 4
 # Targets from which on flows are also ranked by caller and by work. Below, a queue
-# within the target has few requests; targets of 100 to 180 ms were tuned without it.
+# within the target has too few requests for a ranking to matter.
 RANKED_TARGET_MS: Final = 250
 # Factor on the limit of callers with many times their share: about two requests of
 # 26 ms with a target of 429 ms.
