platform: leave placement across data centres off unless the settings ask for it

Change: a key of the settings, placement = "places", besides the contract. The parts stay, with their tests.

--- a/src/lentilfork/platform/settings.py
+++ b/src/lentilfork/platform/settings.py
@@ -44,6 +44,7 @@
 REPLACE_DIVISOR: Final = 2
 # Controllers that deploy/system.toml starts in each data centre.
 CONTROLLERS_PER_ZONE: Final = 2
+PLACES: Final = "places"
 
 Port = Annotated[int, Meta(ge=1, le=MAXIMUM_PORT)]
 
@@ -113,6 +114,9 @@
     zones: dict[str, Any] = {}
     # Sets of rules by which the deployment is judged.
     contracts: tuple[str, ...] = ()
+    # "places" lets flows be placed by the state of the data centres, where the contracts
+    # name that too. It is off by default, since it costs processor time.
+    placement: str = ""
 
     @property
     def has_evacuations(self) -> bool:
@@ -199,7 +203,7 @@
         settings.heartbeat_ms / MS_PER_S,
         settings.bounds.grace_s,
         evacuations=settings.has_evacuations,
-        places="places" in settings.contracts,
+        places=settings.placement == PLACES and PLACES in settings.contracts,
         cold_overshoot=settings.bounds.cold_overshoot,
         cold_slack=settings.bounds.cold_slack,
     )
