--- a/src/lentilfork/platform/settings.py
+++ b/src/lentilfork/platform/settings.py
@@ -114,8 +114,8 @@
     zones: dict[str, Any] = {}
     # Sets of rules by which the deployment is judged.
     contracts: tuple[str, ...] = ()
-    # "places" lets flows be placed by the state of the data centres, where the contracts
-    # name that too. It is off by default, since it costs processor time.
+    # "places" places flows by the state of the data centres, where the contracts name
+    # that too. It is off by default, since it costs processor time.
     placement: str = ""
 
     @property
