--- a/review/common-2/stand.py
+++ b/review/common-2/stand.py
@@ -587,6 +587,9 @@
         self.vip = f"127.{self.net}.200.1"
         self.vip_number, self.vip_port = to_number(self.vip), 8443
         self.machines = []
+        # Machines that were removed, and those that the settings name as seeds.
+        self.gone = []
+        self.seeds = []
         self.endpoints = []
         self.clients = []
         self.breaches = []
@@ -666,13 +669,21 @@
 
     # Machines and processes
 
-    def add_edge(self, zone, index, number, disk=True):
-        """Add an edge machine with a balancer and a controller."""
+    def add_edge(self, zone, index, number, disk=True, seed_of=None):
+        """Add an edge machine with a balancer and a controller.
+
+        `seed_of` is the machine that it replaces: the seeds name the successor from
+        then on in the settings that are written.
+        """
         ip = f"127.{self.net}.{index}.{number}"
         roles = ["controller", "balancer"]
         machine = Machine(f"edge-{zone}-{number}", ip, zone, roles)
         machine.disk = disk
         self.machines.append(machine)
+        if seed_of in self.seeds:
+            self.seeds[self.seeds.index(seed_of)] = machine
+        elif disk and len(self.seeds) < 3:
+            self.seeds.append(machine)
         return machine
 
     def add_side(self, zone, index, number, service):
@@ -686,8 +697,7 @@
 
     def write_settings(self, machine, role, bootstrap):
         """Write the settings file of a process; return its path."""
-        seeds = [m for m in self.machines if "controller" in m.roles and m.disk][:3]
-        seed_list = ",".join(f'"{m.ip}:{self.port_control}"' for m in seeds)
+        seed_list = ",".join(f'"{m.ip}:{self.port_control}"' for m in self.seeds)
         zones = sorted({m.zone for m in self.machines})
         side = role == "agent"
         lines = [
@@ -768,6 +778,15 @@
                 await self.start_process(machine, role, bootstrap=True)
         self.tasks.append(asyncio.create_task(self.check_readiness()))
 
+    async def renew_settings(self):
+        """Write the settings files of all processes anew, and tell them by SIGHUP."""
+        for machine in self.machines:
+            for role, process in machine.processes.items():
+                path = self.folder / f"{machine.name}-{role}.toml"
+                bootstrap = "bootstrap = true" in path.read_text()
+                self.write_settings(machine, role, bootstrap)
+                process.send_signal(signal.SIGHUP)
+
     async def check_readiness(self):
         """Check each balancer twice a second; two misses take it out of rotation."""
         misses = {}
@@ -806,9 +825,9 @@
         await asyncio.sleep(gap_s)
         await self.start_process(machine, role)
 
-    async def put_configuration(self, version, routes, services, idle_ms=15000):
-        """Send a configuration until it is acknowledged; return whether it was."""
-        body = {
+    def make_body(self, version, routes, services, idle_ms=15000):
+        """Return the body of a configuration."""
+        document = {
             "version": version,
             "routes": routes,
             "services": [
@@ -828,9 +847,13 @@
                 "idle_timeout_ms": idle_ms,
             },
         }
-        data = json.dumps(body).encode()
+        return json.dumps(document).encode()
+
+    async def put_configuration(self, version, routes, services, attempts=30):
+        """Send a configuration until it is acknowledged; return whether it was."""
+        data = self.make_body(version, routes, services)
         controllers = [m for m in self.machines if "controller" in m.roles]
-        for attempt in range(30):
+        for attempt in range(attempts):
             machine = controllers[attempt % len(controllers)]
             target = (machine.ip, self.port_control)
             status, _ = await call(target, "PUT", "/v1/config", data)
@@ -865,7 +888,8 @@
                 if flow.stream is not None:
                     flow.stream.end()
             client.port.close()
-        processes = [p for m in self.machines for p in m.processes.values()]
+        machines = (*self.machines, *self.gone)
+        processes = [p for machine in machines for p in machine.processes.values()]
         for process in processes:
             if process.returncode is None:
                 process.kill()
