--- a/review/8/case.py
+++ b/review/8/case.py
@@ -91,7 +91,7 @@
     ]
     spans = {}
     opened = 0
-    for victim in sides[:2]:
+    for victim in sides[:4]:
         stats = Counter()
         started = time.monotonic()
         jobs = []
