--- a/review/common-2/stand.py
+++ b/review/common-2/stand.py
@@ -904,12 +904,15 @@
     case = Path(folder_name)
 
     async def run():
+        # A script that is told to end stops what it has started.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory() as folder:
             stand = Stand(folder, case / "record.txt")
             try:
                 async with asyncio.timeout(112):
                     await play(stand, trouble)
-            except (Unable, TimeoutError, OSError) as error:
+            except (Unable, TimeoutError, OSError, asyncio.CancelledError) as error:
                 stand.note(f"could not run: {error!r}")
                 return 2
             finally:
