--- a/review/common-2/stand.py
+++ b/review/common-2/stand.py
@@ -878,7 +878,14 @@
         }
 
     async def stop(self):
-        """End everything that was started."""
+        """End everything that was started, the processes first."""
+        machines = (*self.machines, *self.gone)
+        processes = [p for machine in machines for p in machine.processes.values()]
+        for process in processes:
+            if process.returncode is None:
+                process.kill()
+        for process in processes:
+            await process.wait()
         for task in self.tasks:
             task.cancel()
         for endpoint in self.endpoints:
@@ -888,13 +895,6 @@
                 if flow.stream is not None:
                     flow.stream.end()
             client.port.close()
-        machines = (*self.machines, *self.gone)
-        processes = [p for machine in machines for p in machine.processes.values()]
-        for process in processes:
-            if process.returncode is None:
-                process.kill()
-        for process in processes:
-            await process.wait()
         self.record_file.close()
 
 
