--- a/src/lentilfork/agreement/core.py
+++ b/src/lentilfork/agreement/core.py
@@ -80,6 +80,8 @@
     leader_address: str
     commit_index: int
     applied_index: int
+    # Whether this replica is about to stop. It asks for no vote and gives its own up.
+    leaving: bool
     # Loop time of the latest message from a leader or of the latest granted vote.
     leader_contact_s: float
     # Event loop of the process; set when the replica starts.
@@ -115,6 +117,7 @@
         self.leader_address = ""
         self.commit_index = 0
         self.applied_index = 0
+        self.leaving = False
         self.leader_contact_s = 0.0
         self.lock = asyncio.Lock()
         self.state_listeners = []
--- a/src/lentilfork/agreement/follower.py
+++ b/src/lentilfork/agreement/follower.py
@@ -44,6 +44,7 @@
             match_index=match_index,
             disk_id=self.core.storage.disk_id,
             state_version=STATE_VERSION,
+            leaving=self.core.leaving,
         )
 
     async def accept_leader(self, term: int, leader: str, address: str) -> bool:
--- a/src/lentilfork/agreement/joining.py
+++ b/src/lentilfork/agreement/joining.py
@@ -14,6 +14,9 @@
 a vote is vacant. A voter that has not responded for `replace_silent_ms` is demoted
 to make room. If no vote is vacant, the replica stays a spare. A replica without a
 disk remains a learner: a majority must not depend on what a restart forgets.
+
+Leaving: a voter that is about to stop asks the leader to take its vote, and keeps
+voting until then, because the others may need it to elect a leader.
 """
 
 import asyncio
@@ -29,6 +32,7 @@
 from lentilfork.agreement.leadership import Leadership
 from lentilfork.agreement.proposals import Proposals
 from lentilfork.agreement.removals import choose_removal
+from lentilfork.agreement.removals import may_release_vote
 from lentilfork.agreement.storage import StorageError
 from lentilfork.agreement.voters import Configuration
 from lentilfork.agreement.voters import encode_configuration
@@ -49,6 +53,9 @@
 # A leader that is not heard from for longer than an election takes may have removed
 # this replica.
 LEADER_MISSING_S: Final = 2.0
+# States of a replica that may stop.
+VOTE_RELEASED: Final = "released"
+VOTE_NEEDED: Final = "needed"
 MAXIMUM_FIRST_TERM: Final = 1 << 20
 MS_PER_S: Final = 1_000
 
@@ -86,6 +93,8 @@
     def needs_admission(self) -> bool:
         """Return whether this replica has no vote or may have been removed."""
         core = self.core
+        if core.leaving:
+            return False
         if core.has_disk and not core.is_voter:
             return True
         silent_s = core.get_time_s() - core.leader_contact_s
@@ -153,7 +162,25 @@
         log.info("bootstrapped a new cluster", voters=len(voters))
 
     async def request_admission(self) -> None:
-        """Send a join request to the known controllers and to the leader they name."""
+        """Ask the leader for admission."""
+        await self.request_change(leaving=False)
+
+    async def request_release(self) -> bool:
+        """Ask the leader to take this replica's vote; return whether it may stop."""
+        states = await self.request_change(leaving=True)
+        return bool(states & {VOTE_RELEASED, VOTE_NEEDED})
+
+    def has_surplus_vote(self) -> bool:
+        """Return whether this replica votes and the other voters suffice."""
+        core = self.core
+        tolerated = core.settings.tolerated_losses
+        return core.is_voter and may_release_vote(core.configuration, tolerated)
+
+    async def request_change(self, *, leaving: bool) -> set[str]:
+        """Send a join request to the known controllers and to the leader they name.
+
+        Returns the states that they answered with.
+        """
         core = self.core
         member = Controller(
             core.name,
@@ -161,20 +188,24 @@
             core.has_disk,
             core.storage.disk_id,
         )
-        request = agreement_pb2.JoinRequest(controller=encode_controller(member))
+        request = agreement_pb2.JoinRequest(
+            controller=encode_controller(member), leaving=leaving
+        )
         known = {
             core.leader_address,
             *(peer.address for peer in core.settings.controllers),
             *(item.control_address for item in core.configuration.values()),
         }
-        leaders = await self.send_join_requests(known, request)
+        replies = await self.send_join_requests(known, request)
         # The known controllers may include only replicas that follow the leader.
-        await self.send_join_requests(leaders - known, request)
+        leaders = {reply.leader_address for reply in replies if not reply.state}
+        replies += await self.send_join_requests(leaders - known, request)
+        return {reply.state for reply in replies}
 
     async def send_join_requests(
         self, addresses: Iterable[str], request: agreement_pb2.JoinRequest
-    ) -> set[str]:
-        """Send a join request to controllers; return the leaders that they name."""
+    ) -> list[agreement_pb2.JoinReply]:
+        """Send a join request to controllers; return their replies."""
         core = self.core
         others = set(addresses) - {"", core.settings.control_address}
         calls = (
@@ -186,17 +217,21 @@
             answer for answer in answers if isinstance(answer, agreement_pb2.JoinReply)
         ]
         core.counters.add("agreement_call_errors", "join", len(answers) - len(replies))
-        return {reply.leader_address for reply in replies if not reply.state}
+        return replies
 
     async def handle_join(
         self, request: agreement_pb2.JoinRequest
     ) -> agreement_pb2.JoinReply:
-        """Admit or promote a replica if this one is the leader."""
+        """Admit, promote or release a replica if this one is the leader."""
         leadership = self.get_leadership()
         if leadership is None or not leadership.is_established:
             return agreement_pb2.JoinReply(leader_address=self.core.leader_address)
+        sender = decode_controller(request.controller)
         async with self.admission_lock:
-            state = await self.admit(leadership, decode_controller(request.controller))
+            if request.leaving:
+                state = await self.release_vote(sender)
+            else:
+                state = await self.admit(leadership, sender)
         return agreement_pb2.JoinReply(
             leader_address=self.core.leader_address, state=state
         )
@@ -225,6 +260,24 @@
             return "learner"
         return await self.promote(leadership, configuration, known)
 
+    async def release_vote(self, leaver: Controller) -> str:
+        """Take the vote of a replica that is about to stop; return its state.
+
+        It remains a learner, so that it gets its vote again after a restart.
+        """
+        configuration = self.core.configuration
+        known = configuration.get(leaver.name)
+        if self.core.configurations.current_index > self.core.commit_index:
+            return "waiting"
+        if known is None or not known.voter or known.disk_id != leaver.disk_id:
+            return VOTE_RELEASED
+        if not may_release_vote(configuration, self.core.settings.tolerated_losses):
+            return VOTE_NEEDED
+        released = replace(known, voter=False)
+        return await self.propose_configuration(
+            configuration | {known.name: released}, VOTE_RELEASED
+        )
+
     async def promote(
         self, leadership: Leadership, configuration: Configuration, learner: Controller
     ) -> str:
--- a/src/lentilfork/agreement/leadership.py
+++ b/src/lentilfork/agreement/leadership.py
@@ -89,7 +89,10 @@
         await asyncio.gather(*self.cancel(), return_exceptions=True)
 
     def transfer_leadership(self) -> None:
-        """Ask the most up-to-date voter to campaign if it holds the whole log."""
+        """Ask the most up-to-date voter to campaign if it holds the whole log.
+
+        One that is about to stop is asked only if all others are, too.
+        """
         voters = (
             peer
             for peer in self.peers.values()
@@ -97,7 +100,11 @@
             and self.has_admitted_disk(peer)
             and self.is_responsive(peer)
         )
-        successor = max(voters, key=lambda peer: peer.match_index, default=None)
+        successor = max(
+            voters,
+            key=lambda peer: (not peer.leaving, peer.match_index),
+            default=None,
+        )
         if successor and successor.match_index == self.core.log.last_index:
             successor.campaign = True
             successor.wake.set()
@@ -349,6 +356,7 @@
             peer.match_index = 0
         peer.last_ack_s = sent_s
         peer.state_version = reply.state_version
+        peer.leaving = reply.leaving
         if reply.success:
             peer.match_index = max(peer.match_index, reply.match_index)
             peer.next_index = peer.match_index + 1
--- a/src/lentilfork/agreement/peers.py
+++ b/src/lentilfork/agreement/peers.py
@@ -41,6 +41,8 @@
     distrusted_disk_id: int = 0
     # Newest kinds of changes that it knows, according to its latest reply.
     state_version: int = 0
+    # Whether it is about to stop, according to its latest reply.
+    leaving: bool = False
     # Most bytes of entries that the peer is likely to confirm within one call.
     batch_bytes: int = MAXIMUM_BATCH_BYTES
     # The peer is asked to campaign and take over the leadership.
--- a/src/lentilfork/agreement/removals.py
+++ b/src/lentilfork/agreement/removals.py
@@ -13,6 +13,10 @@
 
 One vote is taken at a time. Without votes to take, a controller without a vote that
 has been silent for long is removed; if it comes back, it asks for admission anew.
+
+A controller that stops as planned gives up its vote before it stops, within the same
+limit. Otherwise losses at a time when its silence isn't noticed yet could take the
+majority of the remaining voters.
 """
 
 import math
@@ -25,7 +29,7 @@
 from lentilfork.agreement.voters import list_voters
 from lentilfork.state.validation import MAXIMUM_CONTROLLERS
 
-__all__ = ["choose_removal"]
+__all__ = ["choose_removal", "may_release_vote"]
 
 # Multiples of `replace_silent_s`. The early one leaves time for an election before it:
 # silence is measured by the leader.
@@ -64,6 +68,18 @@
     return None
 
 
+def may_release_vote(
+    configuration: Configuration, tolerated_losses: int | None
+) -> bool:
+    """Return whether the voters bear the tolerated losses with one voter less.
+
+    Without tolerated losses, operators choose the voters.
+    """
+    if tolerated_losses is None:
+        return False
+    return len(list_voters(configuration)) > 2 * tolerated_losses + 1
+
+
 def get_vote_factor(voters: int, needed: int, silent: int) -> float:
     """Return the multiple of the silent time after which a voter loses its vote."""
     if voters <= needed:
--- a/src/lentilfork/agreement/replica.py
+++ b/src/lentilfork/agreement/replica.py
@@ -58,6 +58,7 @@
 COMPACTION_ENTRIES: Final = 4_096
 COMPACTION_BYTES: Final = 4 * 1024 * 1024
 TRANSFER_TIMEOUT_S: Final = 2.0
+RELEASE_INTERVAL_S: Final = 0.1
 
 
 class Replica:
@@ -266,6 +267,25 @@
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
         await leadership.step_down("leaving")
 
+    async def leave(self, timeout_s: float) -> None:
+        """Hand over the leadership, and the vote if the other voters suffice.
+
+        Called before a planned stop; takes at most `timeout_s`. Until its vote is taken
+        this replica votes, and leads if the others need it to.
+        """
+        self.core.leaving = True
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.step_down()
+                while (
+                    self.joining.has_surplus_vote()
+                    and not await self.joining.request_release()
+                ):
+                    await asyncio.sleep(RELEASE_INTERVAL_S)
+                    await self.step_down()
+        except TimeoutError:
+            log.warning("stopping without a release of the vote", term=self.term)
+
     async def propose(
         self, change: state_pb2.Change, timeout_s: float = PROPOSE_TIMEOUT_S
     ) -> Result[state_pb2.ChangeResult, ProposeFailure]:
--- a/src/lentilfork/forwarding/controller.py
+++ b/src/lentilfork/forwarding/controller.py
@@ -51,6 +51,8 @@
 # Announcements of members are not urgent, and hundreds arrive in a second.
 POLL_INTERVAL_S: Final = 0.01
 SERVER_GRACE_S: Final = 0.3
+# Time reserved for closing the servers.
+STOP_MARGIN_S: Final = 0.8
 # Connection attempts to a controller behind a network partition hang. gRPC's own
 # timeout of 20 s is longer than partitions of a few seconds, and data centres are only
 # a few milliseconds apart.
@@ -330,8 +332,8 @@
         return Ok(self.replica.state.route_table)
 
     async def drain(self) -> None:
-        """Step down as leader, so that another controller replaces it faster."""
-        await self.replica.step_down()
+        """Hand over the leadership and the vote, as far as the time allows."""
+        await self.replica.leave(self.settings.grace_s - STOP_MARGIN_S)
 
     async def stop(self) -> None:
         """Cancel all tasks and close all servers and sockets."""
--- a/src/lentilfork/forwarding/settings.py
+++ b/src/lentilfork/forwarding/settings.py
@@ -87,6 +87,8 @@
     replace_silent_ms: int
     # Whether operators may evacuate data centres.
     evacuations: bool = False
+    # Time from the signal to stop until the process is killed.
+    grace_s: float = 6.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/lentilfork/platform/settings.py
+++ b/src/lentilfork/platform/settings.py
@@ -221,4 +221,5 @@
         max(tolerance.machines, tolerance.zones * CONTROLLERS_PER_ZONE),
         round(settings.bounds.catch_up_s * MS_PER_S / REPLACE_DIVISOR),
         settings.has_evacuations,
+        settings.bounds.grace_s,
     )
--- a/tests/agreement/test_histories.py
+++ b/tests/agreement/test_histories.py
@@ -24,6 +24,7 @@
 # Time after catching up within which the controllers have settled.
 CALM_S = 5.0
 ANSWER_S = 6.0
+LEAVE_S = 5.0
 EPOCHS = 3
 # Histories of each layout that each run of the tests plays.
 SEEDS_PER_LAYOUT = 5
@@ -134,7 +135,7 @@
         """Remove a host for good; `add_missing` starts its successor."""
         replica = self.replicas.get(name)
         if planned and replica is not None:
-            self.loop.run_until_complete(replica.step_down())
+            self.loop.run_until_complete(replica.leave(LEAVE_S))
         self.kill(name)
         del self.addresses[name]
         self.cut_off.discard(name)
