--- a/src/lentilfork/forwarding/flows.py
+++ b/src/lentilfork/forwarding/flows.py
@@ -107,8 +107,26 @@
     confirmed_at: float = float("-inf")
 
     def accepts_acknowledgement(self, acknowledgement: int) -> bool:
-        """Return whether a caller's acknowledgement can belong to this flow."""
-        return self.sequence is None or is_within(acknowledgement, self.sequence)
+        """Return whether a caller's acknowledgement can belong to this flow.
+
+        Until the flow is open, only that of the SYN-ACK can: the caller may use the
+        flow with another backend server, whose numbers can be near.
+        """
+        if self.sequence is None:
+            return True
+        if not self.opened:
+            return self.acknowledges_syn_answer(acknowledgement)
+        return is_within(acknowledgement, self.sequence)
+
+    def acknowledges_syn_answer(self, acknowledgement: int) -> bool:
+        """Return whether an acknowledgement is that of the SYN-ACK.
+
+        The backend server sends nothing after it until the caller has acknowledged it.
+        """
+        if self.sequence is None:
+            return False
+        beyond = (acknowledgement - self.sequence) % SEQUENCE_MODULUS
+        return beyond <= SYN_SEQUENCE_NUMBERS
 
     def record_syn(self, sequence: int) -> None:
         """Record the caller's SYN, which its first request follows."""
@@ -125,14 +143,8 @@
         self.notified_owner = ""
 
     def record_acknowledgement(self, acknowledgement: int) -> None:
-        """Record the acknowledgement in a caller's packet that was delivered.
-
-        The backend server sends nothing after its SYN-ACK until the caller has
-        acknowledged that, so the packet that opens the flow acknowledges no more.
-        """
-        if self.sequence is not None:
-            beyond = (acknowledgement - self.sequence) % SEQUENCE_MODULUS
-            self.opened = self.opened or beyond <= SYN_SEQUENCE_NUMBERS
+        """Record the acknowledgement in a caller's packet that was delivered."""
+        self.opened = self.opened or self.acknowledges_syn_answer(acknowledgement)
         if self.opened:
             self.acknowledged = acknowledgement
 
--- a/tests/forwarding/test_delivery.py
+++ b/tests/forwarding/test_delivery.py
@@ -85,6 +85,35 @@
     assert passed_on == [0, 1, 1, 2]
 
 
+# Guards against requests that are never run: the agent of a server that the caller
+# didn't choose kept the packets, since the numbers of both servers were near.
+@pytest.mark.parametrize("distance", [2, 1 << 10, 1 << 25, -2, -(1 << 25)])
+def test_packets_leave_an_agent_whose_server_was_not_chosen(distance: int) -> None:
+    world = World([1.0] * 4)
+    request = open_long_flow(world)
+    attempt = next(iter(world.attempts.values()))
+    holder = next(h for h in world.hosts.values() if attempt.caller in h.server.flows)
+    others = [host for host in world.hosts.values() if host is not holder]
+    assert attempt.sequence is not None
+    syn = make_packet(attempt.caller, request.route, SYN, 7)
+    for host in others:
+        number = (attempt.sequence + distance) % (1 << 32)
+        host.server.flows[attempt.caller] = number
+        offer = Envelope(
+            Kind.DELIVER, 0, hash_name(SERVICE), hash_name("north"), 0, 0, 1, syn, True
+        )
+        host.handle_datagram(encode_envelope(offer), (holder.name, 1))
+    world.clock.run(world.clock.now + 0.1)
+    for host in world.hosts.values():
+        for owner_entry in host.agent.owner.directory.entries.values():
+            owner_entry.agent = others[0].name
+    counts = [host.agent.counters.get("packets_delivered") for host in others]
+    send_acknowledgement(world)()
+    world.clock.run(world.clock.now + 0.1)
+    assert counts == [host.agent.counters.get("packets_delivered") for host in others]
+    assert holder.agent.counters.get("packets_delivered") > 2
+
+
 def test_flow_lost_by_its_server_is_reset() -> None:
     world = World([1.0] * 3)
     request = open_long_flow(world)
--- a/tests/forwarding/test_flows.py
+++ b/tests/forwarding/test_flows.py
@@ -112,11 +112,29 @@
     flows = FlowTable(1)
     flow = flows.record_offer(FIRST_KEY, 0, 1.0)
     flow.sequence = 0xFFFFFFF0
+    flow.record_acknowledgement(0xFFFFFFF1)
     assert flow.accepts_acknowledgement(0xFFFFFFF1)
     assert flow.accepts_acknowledgement(40_000)
     assert not flow.accepts_acknowledgement(0x7FFFFFFF)
 
 
+# Guards against packets of an open flow that are kept by the agent of a server that the
+# caller didn't choose, because its numbers are near the chosen one's.
+def test_flow_that_is_not_open_accepts_only_an_acknowledgement_of_its_syn_answer() -> (
+    None
+):
+    flows = FlowTable(1)
+    flow = flows.record_offer(FIRST_KEY, 0, 1.0)
+    for first in (0xFFFFFFFF, 5):
+        flow.sequence = first
+        accepted = [
+            distance
+            for distance in (-(1 << 26), -1, 0, 1, 2, 1 << 25, 1 << 26, 1 << 31)
+            if flow.accepts_acknowledgement((first + distance) % (1 << 32))
+        ]
+        assert accepted == [0, 1]
+
+
 def test_failed_requests_do_not_lower_the_service_time() -> None:
     flows = FlowTable(1)
     answer_requests(flows, 20, 0.05)
