--- a/src/lentilfork/directory.py
+++ b/src/lentilfork/directory.py
@@ -54,6 +54,8 @@
 
     agent: str
     used_at: float
+    # Whether the caller is known to use the flow with this agent's backend server.
+    chosen: bool = False
 
 
 class Directory:
@@ -76,9 +78,11 @@
         self.entries.move_to_end(key)
         return entry.agent
 
-    def record(self, key: bytes, agent: str, now: float) -> None:
+    def record(
+        self, key: bytes, agent: str, now: float, *, chosen: bool = False
+    ) -> None:
         """Record the agent that serves `key`, and drop expired entries."""
-        self.entries[key] = Entry(agent, now)
+        self.entries[key] = Entry(agent, now, chosen)
         self.entries.move_to_end(key)
         self.expire_entries(now)
 
--- a/src/lentilfork/forwarding/agent.py
+++ b/src/lentilfork/forwarding/agent.py
@@ -176,12 +176,13 @@
         match kind:
             case Kind.ROUTE | Kind.DELIVER | Kind.SEARCH_BACK:
                 self.handle_envelope(kind, data, sender, now)
-            case Kind.NOTE:
+            case Kind.NOTE | Kind.CHOICE:
                 notice = decode_placement_notice(data)
                 if notice is None:
                     self.counters.add("datagrams_dropped", "malformed")
                 else:
-                    self.owner.handle_placement_notice(*notice, now)
+                    chosen = kind is Kind.CHOICE
+                    self.owner.handle_placement_notice(*notice, now, chosen=chosen)
             case Kind.LOAD:
                 self.handle_load_update(data, now)
             case Kind.LOAD_SUBSCRIPTION:
--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -307,10 +307,7 @@
             owners = self.rank_owners_by_route(flow.key, ingress)
             local = not owners or owners[0].name == self.name
             address = None if local else owners[0].address
-        if address is None:
-            self.owner.handle_placement_notice(flow.key, self.name, now)
-        else:
-            self.send(encode_placement_notice(flow.key, self.name), address)
+        self.send_placement_notice(flow, address, now)
 
     def deliver_to_server(self, packet: FlowPacket, envelope: Envelope) -> None:
         """Send a packet to the backend server; its tag keeps the state of a search."""
@@ -414,11 +411,19 @@
             )
 
     def confirm_offer(self, flow: Flow, now: float) -> None:
-        """Notify the agent that offered a flow here that the flow has opened."""
-        if flow.offered_by is None:
-            self.owner.handle_placement_notice(flow.key, self.name, now)
+        """Notify the agent that offered a flow here that its SYN was answered."""
+        self.send_placement_notice(flow, flow.offered_by, now)
+
+    def send_placement_notice(
+        self, flow: Flow, address: SocketName | None, now: float
+    ) -> None:
+        """Notify an owner that a flow is served here; None is this agent itself."""
+        chosen = flow.opened
+        if address is None:
+            self.owner.handle_placement_notice(flow.key, self.name, now, chosen=chosen)
         else:
-            self.send(encode_placement_notice(flow.key, self.name), flow.offered_by)
+            notice = encode_placement_notice(flow.key, self.name, chosen=chosen)
+            self.send(notice, address)
 
     def notify_owner(self, flow: Flow, now: float) -> None:
         """Notify the owner of a flow where it is served, if the owner has changed.
@@ -437,9 +442,9 @@
         flow.notified_owner = owner.name
         flow.notified_incarnation = owner.incarnation
         if owner.name == self.name:
-            self.owner.handle_placement_notice(flow.key, self.name, now)
+            self.send_placement_notice(flow, None, now)
         elif owner.address != flow.offered_by or not opening:
-            self.send(encode_placement_notice(flow.key, self.name), owner.address)
+            self.send_placement_notice(flow, owner.address, now)
 
     def rank_owners_by_route(self, key: bytes, ingress: int) -> list[AgentRecord]:
         """Return the owners of a flow under the service that its route has now.
--- a/src/lentilfork/forwarding/envelopes.py
+++ b/src/lentilfork/forwarding/envelopes.py
@@ -38,7 +38,7 @@
     ROUTE = 1
     # Envelope to the agent that is to serve the flow.
     DELIVER = 2
-    # Placement notice to the owner: the agent that serves a flow.
+    # Placement notice to the owner: the agent whose backend server has answered a SYN.
     NOTE = 3
     LOAD = 4
     ANNOUNCEMENT = 5
@@ -47,6 +47,8 @@
     LOAD_SUBSCRIPTION = 7
     # Envelope like `DELIVER`, of a packet whose flow is searched in reverse order.
     SEARCH_BACK = 8
+    # Placement notice to the owner: the agent whose backend server the caller uses.
+    CHOICE = 9
 
 
 KINDS: Final = {int(kind): kind for kind in Kind}
@@ -119,9 +121,13 @@
     )
 
 
-def encode_placement_notice(key: bytes, agent: str) -> bytes:
-    """Return the notice that an agent serves a flow; "" if the flow was refused."""
-    return bytes((Kind.NOTE,)) + key + agent.encode()
+def encode_placement_notice(key: bytes, agent: str, *, chosen: bool = False) -> bytes:
+    """Return the notice that an agent serves a flow; "" if the flow was refused.
+
+    `chosen` says that the caller has acknowledged this agent's backend server.
+    """
+    kind = Kind.CHOICE if chosen else Kind.NOTE
+    return bytes((kind,)) + key + agent.encode()
 
 
 def decode_placement_notice(datagram: bytes) -> tuple[bytes, str] | None:
--- a/src/lentilfork/forwarding/ownership.py
+++ b/src/lentilfork/forwarding/ownership.py
@@ -1,12 +1,15 @@
 """Placement of new flows and lookup of known flows by the agent that owns them.
 
 An owner offers a SYN to the agent whose answer is expected first and records that
-placement. The agent confirms an opened flow with a placement notice; if the notice
+placement. The agent confirms an answered SYN with a placement notice; if the notice
 does not arrive in time, the SYN is also offered to another agent. The caller uses
 only one of the SYN-ACKs, and the owner learns which one from the agent that delivers
 the caller's next packet. Until then it forwards packets of the flow to all agents that
-the flow was offered to. Packets of flows that the owner does not know, such as flows of
-a previous owner, are forwarded from agent to agent until one of them holds the flow.
+the flow was offered to. A server that was not chosen sends its SYN-ACK again for some
+seconds, so once the caller has chosen, notices of SYN-ACKs change nothing.
+
+Packets of flows that the owner does not know, such as flows of a previous owner, are
+forwarded from agent to agent until one of them holds the flow.
 """
 
 from collections import OrderedDict
@@ -73,8 +76,6 @@
 
     agents: list[str]
     offered_at: float
-    # Whether the caller has acknowledged a SYN-ACK.
-    acknowledged: bool = False
 
 
 class FlowOwner:
@@ -149,6 +150,8 @@
         if self.forward_contested(key, envelope, packet, now):
             return
         agent = self.find_agent(key, now)
+        if agent is not None:
+            self.record_choice(key, packet)
         if (
             agent is not None
             and packet.is_opening
@@ -164,6 +167,17 @@
             self.counters.add("flows_searched")
             self.deliver(envelope, packet, now)
 
+    def record_choice(self, key: bytes, packet: FlowPacket) -> None:
+        """Record whether the caller has chosen a server, by its next packet.
+
+        If it is another server than the recorded one, that one's agent notifies.
+        """
+        if not packet.is_opening:
+            self.directory.entries[key].chosen = True
+        elif packet.acknowledgement == 0:
+            # The caller uses its port again.
+            self.directory.entries[key].chosen = False
+
     def forward_contested(
         self, key: bytes, envelope: Envelope, packet: FlowPacket, now: float
     ) -> bool:
@@ -178,8 +192,6 @@
         names = contest.agents
         if packet.is_opening:
             names = names[-1:]
-        else:
-            contest.acknowledged = True
         agents = [
             self.roster.agents[name] for name in names if name in self.roster.agents
         ]
@@ -379,10 +391,14 @@
         )
         return False
 
-    def handle_placement_notice(self, key: bytes, agent: str, now: float) -> None:
-        """Record where a flow opened or is served; "" means that it was refused.
+    def handle_placement_notice(
+        self, key: bytes, agent: str, now: float, *, chosen: bool = False
+    ) -> None:
+        """Record where a SYN was answered; "" means that the flow was refused.
 
         A refusal without a pending offer is late: the flow has opened meanwhile.
+        `chosen` says that the caller uses the flow with the agent's backend server.
+        Otherwise another server's SYN-ACK may reach the caller first, or has done so.
         """
         offer = self.offers.pop(key, None)
         contest = self.contests.get(key)
@@ -393,12 +409,20 @@
         if offer is not None:
             self.loads.record_opening(agent)
             self.counters.observe("opening_time", now - offer.sent_at)
-        if contest is not None:
-            if not contest.acknowledged:
-                # Another SYN-ACK may reach the caller first.
-                return
-            del self.contests[key]
-        self.directory.record(key, agent, now)
+        if not chosen and (contest is not None or self.is_chosen(key, now)):
+            return
+        self.contests.pop(key, None)
+        self.directory.record(key, agent, now, chosen=chosen)
+
+    def is_chosen(self, key: bytes, now: float) -> bool:
+        """Return whether the caller has chosen the recorded agent, which still runs."""
+        entry = self.directory.entries.get(key)
+        return (
+            entry is not None
+            and entry.chosen
+            and now - entry.used_at <= self.directory.lifetime_s
+            and entry.agent in self.roster.agents
+        )
 
     def expire_contests(self, now: float) -> None:
         """Remove contests that the caller has left undecided."""
--- a/tests/forwarding/test_malformed.py
+++ b/tests/forwarding/test_malformed.py
@@ -72,6 +72,7 @@
         encode_envelope(envelope),
         encode_envelope(replace(envelope, kind=Kind.DELIVER, data=data)),
         encode_placement_notice(b"k" * 12, "agent-2"),
+        encode_placement_notice(b"k" * 12, "agent-2", chosen=True),
         bytes((Kind.LOAD,)) + load.SerializeToString(),
         bytes((Kind.ANNOUNCEMENT,)) + announcement.SerializeToString(),
         bytes((Kind.UPDATE,)) + update.SerializeToString(),
--- a/tests/forwarding/test_offers.py
+++ b/tests/forwarding/test_offers.py
@@ -29,6 +29,7 @@
 FLOW = KEY.pack(*CALLER, ADDRESS, PORT)
 SEQUENCE = 1_000
 OWNER = "agent-0"
+NOTICES = {Kind.NOTE, Kind.CHOICE}
 
 
 class OwnerStand:
@@ -65,10 +66,12 @@
         self.agent.owner.retry_offers(self.now)
         return [name for name, _ in self.delivered]
 
-    def notify(self, agent: str) -> None:
+    def notify(self, agent: str, *, chosen: bool = False) -> None:
         """Let an agent's placement notice arrive; "" is a refusal."""
-        notice = encode_placement_notice(FLOW, agent)
-        self.agent.handle_datagram(Kind.NOTE, notice, ("agent-1", 1), self.now)
+        notice = encode_placement_notice(FLOW, agent, chosen=chosen)
+        kind = read_kind(notice)
+        assert kind is not None
+        self.agent.handle_datagram(kind, notice, ("agent-1", 1), self.now)
 
 
 # Guards against flows that are offered to a second agent although they are open, whose
@@ -97,10 +100,62 @@
     assert stand.route(ACK, SEQUENCE + 1) == agents
     assert all(envelope.repeated for _, envelope in stand.delivered)
     assert stand.route(ACK, SEQUENCE + 1) == agents
-    stand.notify(agents[chosen])
+    # A server that sends its SYN-ACK again says nothing about the choice.
+    stand.notify(agents[1 - chosen])
+    assert stand.route(ACK, SEQUENCE + 1) == agents
+    stand.notify(agents[chosen], chosen=True)
     assert stand.route(ACK, SEQUENCE + 1) == [agents[chosen]]
 
 
+# Guards against open flows that are led to a server which answered their SYN as well
+# and sends its SYN-ACK again for seconds, or answers late.
+@pytest.mark.parametrize("chosen", [0, 1])
+@pytest.mark.parametrize("restarted", [False, True])
+def test_notices_of_other_servers_do_not_move_an_open_flow(
+    chosen: int, *, restarted: bool
+) -> None:
+    stand = OwnerStand()
+    agents = stand.route(SYN)
+    agents += stand.wait()
+    stand.route(ACK, SEQUENCE + 1)
+    if restarted:
+        stand.agent.owner.directory.entries.clear()
+        stand.agent.owner.contests.clear()
+        stand.notify(agents[1 - chosen])
+    stand.notify(agents[chosen], chosen=True)
+    for _ in range(8):
+        stand.now += 1.6
+        stand.notify(agents[1 - chosen])
+        assert stand.route(ACK, SEQUENCE + 1) == [agents[chosen]]
+
+
+# Guards against the same without a second offer of this owner: a former one made it.
+def test_flow_stays_where_its_caller_uses_it() -> None:
+    stand = OwnerStand()
+    [first] = stand.route(SYN)
+    stand.route(ACK, SEQUENCE + 1)
+    other = next(name for name in stand.host.world.hosts if name not in {OWNER, first})
+    stand.notify(other)
+    assert stand.route(ACK, SEQUENCE + 1) == [first]
+    stand.notify(other, chosen=True)
+    assert stand.route(ACK, SEQUENCE + 1) == [other]
+
+
+# Guards against a choice that outlives its flow, or the agent that it names.
+@pytest.mark.parametrize("gone", [False, True])
+def test_choice_ends_with_its_flow_and_its_agent(*, gone: bool) -> None:
+    stand = OwnerStand()
+    [first] = stand.route(SYN)
+    stand.route(ACK, SEQUENCE + 1)
+    other = next(name for name in stand.host.world.hosts if name not in {OWNER, first})
+    if gone:
+        del stand.host.roster.agents[first]
+    else:
+        assert stand.route(SYN) == [first]
+    stand.notify(other)
+    assert stand.route(ACK, SEQUENCE + 1) == [other]
+
+
 # Guards against a directory that moves an open flow to the agent of a repeated offer.
 def test_directory_names_the_first_agent_until_the_caller_has_chosen() -> None:
     stand = OwnerStand()
@@ -162,7 +217,7 @@
     notices: list[tuple[str, str]] = []
 
     def send(data: bytes, address: tuple[str, int]) -> None:
-        if read_kind(data) is Kind.NOTE:
+        if read_kind(data) in NOTICES:
             notice = decode_placement_notice(data)
             assert notice is not None
             notices.append((address[0], notice[1]))
@@ -241,7 +296,7 @@
     def send_or_lose(
         data: bytes, sender: tuple[str, int], data_centre: str, address: tuple[str, int]
     ) -> None:
-        if read_kind(data) is Kind.NOTE and data not in seen:
+        if read_kind(data) in NOTICES and data not in seen:
             seen.add(data)
             return
         send(data, sender, data_centre, address)
