--- a/src/lentilfork/forwarding/routes.py
+++ b/src/lentilfork/forwarding/routes.py
@@ -20,7 +20,8 @@
 FORMER_SERVICE_LIFETIME_S: Final = 60.0
 HASH_RANGE: Final = 1 << 64
 MS_PER_S: Final = 1_000
-# Services that a process without a history of tables looks for a flow in.
+# Services that a process looks for a flow in if neither it nor the table knows the
+# earlier tables.
 MAXIMUM_OTHER_SERVICES: Final = 16
 
 
@@ -34,6 +35,8 @@
     deadline_ms: int
     target_ms: int
     priority: int
+    # Services that the route had before, according to the table.
+    former: tuple[str, ...] = ()
 
     def choose_service(self, flow_key: bytes) -> str:
         """Return the service of a flow by weighted rendezvous hashing.
@@ -70,6 +73,8 @@
     services: dict[int, str] = field(default_factory=dict)
     # Rates of cold backend servers by service; services without a limit are left out.
     warm_ups: dict[str, WarmUpRate] = field(default_factory=dict)
+    # Whether the routes name all services that they had lately.
+    has_history: bool = False
 
     def get_shortest_target_s(self, service: str) -> float:
         """Return the shortest target of the routes to a service, 0 without any."""
@@ -95,8 +100,16 @@
         self.complete_since = math.inf
 
     def record(self, former: RouteIndex, routes: RouteIndex, now: float) -> None:
-        """Record the services that a newer table names no longer; drop expired ones."""
-        self.complete_since = min(self.complete_since, now + FORMER_SERVICE_LIFETIME_S)
+        """Record the services that a newer table names no longer; drop expired ones.
+
+        Tables that this process has missed are known from the newer one.
+        """
+        complete_at = now if routes.has_history else now + FORMER_SERVICE_LIFETIME_S
+        self.complete_since = min(self.complete_since, complete_at)
+        for address, route in routes.routes.items():
+            if route.former:
+                times = self.replaced_at.setdefault(address, {})
+                self.replaced_at[address] = dict.fromkeys(route.former, now) | times
         for address, route in former.routes.items():
             newer = routes.routes.get(address)
             kept = newer.services if newer is not None else ()
@@ -124,8 +137,8 @@
     ) -> list[int]:
         """Return the identifiers of the services that a route had lately or has now.
 
-        A process that has started lately doesn't know the tables before, so it adds
-        some of the services `present`, those that have agents.
+        A process that has started lately doesn't know the tables before. If its table
+        doesn't either, it adds some of the services `present`, those that have agents.
         """
         route = routes.routes.get(address)
         current = route.services if route is not None else ()
@@ -162,10 +175,13 @@
             item.deadline_ms,
             item.target_ms,
             item.priority,
+            tuple(former.service for former in item.former),
         )
         for item in table.routes
     }
-    names = {name for route in routes.values() for name in route.services}
+    names = {
+        name for route in routes.values() for name in (*route.services, *route.former)
+    }
     return RouteIndex(
         table.version,
         table.idle_timeout_ms,
@@ -176,4 +192,5 @@
             for item in table.warm_ups
             if item.per_s > 0
         },
+        table.has_history,
     )
--- a/src/lentilfork/state/operator_changes.py
+++ b/src/lentilfork/state/operator_changes.py
@@ -11,6 +11,7 @@
 from lentilfork.state.effects import refuse
 from lentilfork.state.effects import remove_key
 from lentilfork.state.replicated import ReplicatedState
+from lentilfork.state.route_history import add_history
 from lentilfork.state.validation import check_evacuation
 from lentilfork.state.validation import check_preset
 from lentilfork.state.validation import check_service
@@ -92,7 +93,8 @@
     """Replace the route table; a table that is not newer changes nothing."""
     if change.put_route_table.version <= state.route_table.version:
         return Effect(state)
-    return Effect(replace(state, route_table=change.put_route_table))
+    table = add_history(state.route_table, change.put_route_table, change.time_ms)
+    return Effect(replace(state, route_table=table))
 
 
 def put_evacuation(state: ReplicatedState, change: state_pb2.Change) -> Effect:
--- a/tests/forwarding/simulation.py
+++ b/tests/forwarding/simulation.py
@@ -10,6 +10,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable
+from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
@@ -92,11 +93,16 @@
     *,
     target_ms: int = 100,
     deadline_ms: int = 1000,
+    former: Sequence[str] | None = None,
 ) -> RouteIndex:
-    """Return a table with one route to services with the given weights."""
+    """Return a table with one route to services with the given weights.
+
+    `former` names the services that the route had before; None if that isn't known.
+    """
     return index_routes(
         state_pb2.RouteTable(
             version=version,
+            has_history=former is not None,
             routes=[
                 state_pb2.Route(
                     address=ADDRESS,
@@ -108,6 +114,10 @@
                     deadline_ms=deadline_ms,
                     target_ms=target_ms,
                     priority=1,
+                    former=[
+                        state_pb2.FormerService(service=service)
+                        for service in former or ()
+                    ],
                 )
             ],
         )
--- a/tests/forwarding/test_route_changes.py
+++ b/tests/forwarding/test_route_changes.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from lentilfork.forwarding.packets import hash_name
 from lentilfork.forwarding.packets import make_caller_key
 from lentilfork.forwarding.routes import FORMER_SERVICE_LIFETIME_S
 from lentilfork.forwarding.routes import FormerServices
@@ -31,8 +32,17 @@
 class RouteWorld(World):
     """Deployment with two services, whose backend servers record packets."""
 
-    def __init__(self, weights: dict[str, int], *, next_hosts: int = 4) -> None:
+    def __init__(
+        self, weights: dict[str, int], *, next_hosts: int = 4, other_services: int = 0
+    ) -> None:
         super().__init__([1.0] * 4, slots=FLOWS)
+        # Services that the route had before; None if the tables don't name them.
+        self.former: list[str] | None = None
+        for number in range(other_services):
+            # The first ones in the order of names.
+            name, service = f"a-other-{number}", f"other-{number}"
+            data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+            self.add_host(name, data_centre, 1.0, FLOWS, service=service)
         for number in range(next_hosts):
             self.add_host(
                 f"next-{number}",
@@ -68,18 +78,20 @@
 
         host.agent.delivery.send_to_server = send
 
+    def make_routes(self, weights: dict[str, int]) -> RouteIndex:
+        """Return the newest route table."""
+        return make_routes(self.version, weights, former=self.former)
+
     def change_balancers(self, weights: dict[str, int]) -> None:
         """Apply a new route table to all balancers."""
         self.version += 1
         for balancer in chain.from_iterable(self.balancers.values()):
-            balancer.apply_routes(make_routes(self.version, weights), self.clock.now)
+            balancer.apply_routes(self.make_routes(weights), self.clock.now)
 
     def change_agents(self, weights: dict[str, int]) -> None:
         """Apply the balancers' route table to all agents."""
         for host in self.hosts.values():
-            host.agent.delivery.apply_routes(
-                make_routes(self.version, weights), self.clock.now
-            )
+            host.agent.delivery.apply_routes(self.make_routes(weights), self.clock.now)
 
     def change_everywhere(self, weights: dict[str, int]) -> None:
         """Apply a new route table to all processes, which notify new owners."""
@@ -93,7 +105,7 @@
             if self.hosts[name].service == service:
                 host = self.restart_agent(name)
                 self.record_packets(host)
-                routes = make_routes(self.version, weights)
+                routes = self.make_routes(weights)
                 host.agent.delivery.apply_routes(routes, self.clock.now)
 
     def open_flows(self) -> list[Attempt]:
@@ -258,6 +270,44 @@
         assert holders[port] in names
 
 
+# Guards against the same among more services than a process can ask: the newest table
+# says where flows may be.
+@pytest.mark.parametrize("other_services", [17, 40])
+@pytest.mark.parametrize("changes", [1, 2])
+@pytest.mark.parametrize(
+    "restarted", [(NEXT,), (SERVICE,), (SERVICE, NEXT), (NEXT, "other-3", SERVICE)]
+)
+def test_open_flows_stay_among_many_services_when_agents_start_again(
+    restarted: tuple[str, ...], changes: int, other_services: int
+) -> None:
+    world = RouteWorld({SERVICE: 1}, other_services=other_services)
+    attempts = world.open_flows()
+    holders = {item.port: world.find_holder(item) for item in attempts}
+    world.former = [SERVICE]
+    if changes > 1:
+        world.change_everywhere({"other-3": 1})
+        world.former.append("other-3")
+    world.change_everywhere({NEXT: 1})
+    for service in restarted:
+        world.restart_agents(service, {NEXT: 1})
+    world.clock.run(world.clock.now + ARRIVAL_S)
+    for port, names in world.send_and_collect(attempts).items():
+        assert holders[port] in names
+
+
+# Guards against flows of a table that a process has missed, since it was replaced soon.
+def test_services_of_a_missed_table_are_known_from_the_next_one() -> None:
+    former = FormerServices()
+    first = make_routes(1, {SERVICE: 1}, former=())
+    third = make_routes(3, {NEXT: 1}, former=("stools", SERVICE))
+    former.record(RouteIndex(), first, 0.0)
+    former.record(first, third, 100.0)
+    assert set(former.list_services((ADDRESS, PORT), 101.0)) == {SERVICE, "stools"}
+    present = [hash_name(f"other-{number}") for number in range(40)]
+    listed = former.list_all_services((ADDRESS, PORT), third, present, 101.0)
+    assert set(listed) == {hash_name(name) for name in (NEXT, SERVICE, "stools")}
+
+
 # Guards against open flows that are cut off by balancers that start after the change,
 # while the new service has no agents.
 def test_open_flows_stay_when_balancers_start_again_after_the_change() -> None:
