forwarding: a holder that has started again notifies the flow's own owner

Cause: the owner depends on the data centre where the caller's packets enter. An agent that had started again didn't know it for flows opened before, and a packet that a server rejects lost it on its way to the next agent. So the holder notified an owner of another data centre, and each further packet of the flow was searched. The same held for callers whose packets enter in another data centre than before: the holder kept the first one.

Change: the tag that a packet carries at a server keeps the data centre; a holder takes it from each packet of the caller.

--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -245,12 +245,15 @@
             ):
                 self.search.forward_to_next_agent(packet, envelope)
                 return
+            self.search.record_ingress(key, envelope.ingress)
         elif not flow.accepts_acknowledgement(packet.acknowledgement):
             envelope = self.search_other_services(envelope, packet, now)
             self.search.forward_to_next_agent(packet, envelope)
             return
         else:
             self.flows.record_use(flow, now)
+            # Callers move, and after a restart the ingress isn't known yet.
+            flow.ingress = envelope.ingress or flow.ingress
             flow.route.bytes_received += len(packet.data)
             flow.record_acknowledgement(packet.acknowledgement)
             if flow.opened and (envelope.repeated or envelope.hops):
@@ -301,10 +304,8 @@
         flow.confirmed_at = now
         address = envelope.sender
         if envelope.hops:
-            # The sender is not the owner, but another agent that was asked. An agent
-            # whose server rejected the packet doesn't know its ingress.
-            ingress = flow.ingress or envelope.ingress
-            owners = self.rank_owners_by_route(flow.key, ingress)
+            # The sender is not the owner, but another agent that was asked.
+            owners = self.rank_owners_by_route(flow.key, flow.ingress)
             local = not owners or owners[0].name == self.name
             address = None if local else owners[0].address
         self.send_placement_notice(flow, address, now)
@@ -347,6 +348,7 @@
         flow = self.flows.find(key)
         if flow is None:
             flow = self.flows.add_existing(key, now)
+            flow.ingress = self.search.take_ingress(key)
         elif not packet.flags & STARTS_OR_RESETS and not flow.accepts_sequence(
             packet.sequence
         ):
@@ -489,8 +491,10 @@
         )
         key = make_caller_key(returned)
         flow = self.flows.find(key)
-        ingress = flow.ingress if flow is not None else 0
-        kind, hops = decode_tag(packet.tag)
+        kind, hops, ingress = decode_tag(packet.tag, self.roster.data_centres)
+        if not ingress and flow is not None:
+            ingress = flow.ingress
+        self.search.take_ingress(key)
         envelope = Envelope(
             kind,
             hops,
--- a/src/lentilfork/forwarding/search.py
+++ b/src/lentilfork/forwarding/search.py
@@ -2,7 +2,8 @@
 
 A packet of an unknown flow visits the agents in order of their names, and for the next
 search in reverse order. Envelopes between agents and the tags of packets at a backend
-server carry the number of agents that were asked and the direction.
+server carry the number of agents that were asked, the direction and the data centre of
+the balancer, from which the agent that holds the flow derives its owner.
 """
 
 from collections import OrderedDict
@@ -27,9 +28,12 @@
 # tag can count. The agent that holds the flow notifies a new owner by itself, so in a
 # larger service the flow is found by a retransmission of the packet.
 MAXIMUM_SEARCH_HOPS: Final = 250
-# A tag is the number of hops, and this bit if the flow is searched in reverse order.
+# A tag is the number of hops, this bit if the flow is searched in reverse order, and
+# the lower bits of the identifier of the balancer's data centre.
 SEARCH_BACK_TAG: Final = 1 << 8
 HOPS_MASK: Final = SEARCH_BACK_TAG - 1
+INGRESS_SHIFT: Final = 9
+INGRESS_MASK: Final = (1 << 23) - 1
 # Searches whose direction is known: flows that a restarted owner looks for at a time.
 MAXIMUM_SEARCHES: Final = 4096
 
@@ -37,13 +41,22 @@
 def encode_tag(envelope: Envelope) -> int:
     """Return the tag that keeps the state of a search at a backend server."""
     back = SEARCH_BACK_TAG if envelope.kind is Kind.SEARCH_BACK else 0
-    return envelope.hops | back
+    ingress = envelope.ingress & INGRESS_MASK
+    return envelope.hops | back | ingress << INGRESS_SHIFT
 
 
-def decode_tag(tag: int) -> tuple[Kind, int]:
-    """Return the kind of envelope and the number of hops that a tag stands for."""
+def decode_tag(tag: int, data_centres: Iterable[int]) -> tuple[Kind, int, int]:
+    """Return the kind of envelope, the number of hops and the data centre of a tag.
+
+    The data centre is one of the identifiers `data_centres`, 0 if none matches.
+    """
     back = bool(tag & SEARCH_BACK_TAG)
-    return Kind.SEARCH_BACK if back else Kind.DELIVER, tag & HOPS_MASK
+    kind = Kind.SEARCH_BACK if back else Kind.DELIVER
+    lower_bits = tag >> INGRESS_SHIFT
+    ingress = next(
+        (item for item in data_centres if item & INGRESS_MASK == lower_bits), 0
+    )
+    return kind, tag & HOPS_MASK, ingress
 
 
 class FlowSearch:
@@ -61,6 +74,9 @@
     # Unknown flows whose last packet went to the server on this host, which hasn't
     # rejected it or answered yet.
     delivered: OrderedDict[bytes, None]
+    # Data centres of the balancers of unknown flows whose packets went to the server on
+    # this host.
+    ingresses: OrderedDict[bytes, int]
 
     def __init__(
         self,
@@ -79,6 +95,17 @@
         self.send = send
         self.directions = OrderedDict()
         self.delivered = OrderedDict()
+        self.ingresses = OrderedDict()
+
+    def record_ingress(self, key: bytes, ingress: int) -> None:
+        """Record where the packets of an unknown flow enter."""
+        self.ingresses[key] = ingress
+        if len(self.ingresses) > MAXIMUM_SEARCHES:
+            self.ingresses.popitem(last=False)
+
+    def take_ingress(self, key: bytes) -> int:
+        """Return where the packets of an unknown flow enter, and forget it; or 0."""
+        return self.ingresses.pop(key, 0)
 
     def is_next_elsewhere(self, key: bytes) -> bool:
         """Return whether the next packet of an unknown flow is for other agents.
--- a/tests/forwarding/test_delivery.py
+++ b/tests/forwarding/test_delivery.py
@@ -14,6 +14,7 @@
 from lentilfork.forwarding.packets import make_caller_key
 from lentilfork.forwarding.search import MAXIMUM_SEARCH_HOPS
 from tests.forwarding.simulation import ACK_BIT as ACK
+from tests.forwarding.simulation import DATA_CENTRES
 from tests.forwarding.simulation import FIN_BIT as FIN
 from tests.forwarding.simulation import SERVICE
 from tests.forwarding.simulation import SYN_BIT as SYN
@@ -85,6 +86,64 @@
     assert passed_on == [0, 1, 1, 2]
 
 
+def count_searches(world: World) -> int:
+    """Return how often an agent was asked for a flow that its owner didn't know."""
+    return sum(
+        host.agent.counters.get("flows_searched") for host in world.hosts.values()
+    )
+
+
+def open_pausing_flows(world: World, pause_s: float) -> list[Request]:
+    """Open flows in all data centres, whose requests follow after a pause."""
+    requests = [
+        Request(place, world.clock.now, 0.01, 30.0, rounds=4, pause_s=pause_s)
+        for place in DATA_CENTRES
+        for _ in range(6)
+    ]
+    for request in requests:
+        world.add_request(request)
+    world.clock.run(world.clock.now + pause_s / 2)
+    assert all(request.first_answered_s is not None for request in requests)
+    return requests
+
+
+# Guards against flows whose packets are searched from agent to agent for as long as
+# they live, and are lost with any agent on the way: the agent that holds them had
+# started again, and notified the owner of another data centre.
+@pytest.mark.parametrize("restarted", ["holders", "owners and holders", "all"])
+def test_flows_found_by_a_search_are_known_to_their_owner(restarted: str) -> None:
+    world = World([1.0] * 9, slots=6)
+    requests = open_pausing_flows(world, 1.0)
+    # The holders are in other data centres than their callers.
+    for request in requests:
+        place = DATA_CENTRES.index(request.data_centre)
+        request.data_centre = DATA_CENTRES[(place + 1) % len(DATA_CENTRES)]
+    holders = [name for name, host in world.hosts.items() if host.server.flows]
+    for name in list(world.hosts):
+        if restarted == "all" or name in holders:
+            world.restart_agent(name)
+    if restarted == "owners and holders":
+        clear_directories(world)
+    for host in world.hosts.values():
+        host.agent.delivery.flows_complete_since = world.clock.now + 60.0
+    world.clock.run(world.clock.now + 5.0)
+    assert count_searches(world) <= len(requests)
+    assert all(request.answered_s is not None for request in requests)
+    assert world.resets_of_open_flows == 0
+
+
+# Guards against the same for callers whose packets arrive in another data centre.
+def test_flows_of_callers_that_move_are_known_to_their_new_owner() -> None:
+    world = World([1.0] * 9, slots=6)
+    requests = open_pausing_flows(world, 1.0)
+    for request in requests:
+        place = DATA_CENTRES.index(request.data_centre)
+        request.data_centre = DATA_CENTRES[(place + 1) % len(DATA_CENTRES)]
+    world.clock.run(world.clock.now + 5.0)
+    assert 0 < count_searches(world) <= len(requests)
+    assert all(request.answered_s is not None for request in requests)
+
+
 # Guards against requests that are never run: the agent of a server that the caller
 # didn't choose kept the packets, since the numbers of both servers were near.
 @pytest.mark.parametrize("distance", [2, 1 << 10, 1 << 25, -2, -(1 << 25)])
