--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -262,6 +262,8 @@
                 self.record_payload(flow, packet, envelope, now)
             if packet.flags & PacketFlags.RST:
                 self.flows.close(flow)
+            elif packet.flags & PacketFlags.FIN:
+                self.flows.end_caller_side(flow)
         self.deliver_to_server(packet, envelope)
 
     def record_payload(
@@ -271,7 +273,7 @@
         arrival = flow.arrival
         if (
             flow.requested_at is not None
-            or flow.closed
+            or not flow.takes_requests
             or arrival.is_former(packet.sequence)
         ):
             return
@@ -372,8 +374,10 @@
             flow.opened = True
         if packet.payload_bytes or packet.flags & ENDED:
             self.record_answer(flow, packet, now)
-        if packet.flags & ENDED:
+        if packet.flags & PacketFlags.RST:
             self.flows.close(flow)
+        elif packet.flags & PacketFlags.FIN:
+            self.flows.end_server_side(flow)
         if not flow.notified_owner:
             self.notify_owner(flow, now)
 
@@ -536,7 +540,7 @@
         Others that it was offered are only removed: they may be open elsewhere. Flows
         whose SYN it has answered since `started_at` stay.
         """
-        for flow in self.flows.list_open():
+        for flow in self.flows.list_active():
             if flow.answered_at >= started_at:
                 continue
             if flow.acknowledged is None:
--- a/src/lentilfork/forwarding/flows.py
+++ b/src/lentilfork/forwarding/flows.py
@@ -94,6 +94,10 @@
     # Whether it is known that the caller uses the flow with this backend server, not
     # with another one that answered its SYN as well.
     opened: bool = False
+    # Whether the backend server or the caller has sent the packet that ends its side.
+    server_ended: bool = False
+    caller_ended: bool = False
+    # Whether both sides have ended, or one has reset the flow.
     closed: bool = False
     # Address of the agent that offered the flow here; None for this agent.
     offered_by: tuple[str, int] | None = None
@@ -128,6 +132,11 @@
         beyond = (acknowledgement - self.sequence) % SEQUENCE_MODULUS
         return beyond <= SYN_SEQUENCE_NUMBERS
 
+    @property
+    def takes_requests(self) -> bool:
+        """Whether the backend server may still answer requests on this flow."""
+        return not (self.closed or self.server_ended)
+
     def record_syn(self, sequence: int) -> None:
         """Record the caller's SYN, which its first request follows."""
         if sequence != self.syn_sequence:
@@ -259,7 +268,7 @@
     def record_offer(self, key: bytes, ingress: int, now: float) -> Flow:
         """Record that a SYN was delivered; retransmissions are counted once."""
         flow = self.flows.get(key)
-        if flow is None or flow.closed:
+        if flow is None or not flow.takes_requests:
             former_sequence = flow.sequence if flow is not None else None
             flow = Flow(key, ingress, None, now, now, former_sequence=former_sequence)
             flow.route = self.find_route(key)
@@ -289,9 +298,9 @@
     def record_request(self, flow: Flow, now: float) -> bool:
         """Record that a request of the caller was delivered completely.
 
-        Returns False for further packets of a request, and for closed flows.
+        Returns False for further packets of a request, and for flows that take none.
         """
-        if flow.requested_at is not None or flow.closed:
+        if flow.requested_at is not None or not flow.takes_requests:
             return False
         flow.requested_at = now
         self.awaiting_request.pop(flow.key, None)
@@ -372,6 +381,20 @@
         self.clear_outstanding(flow)
         flow.closed = True
 
+    def end_server_side(self, flow: Flow) -> None:
+        """Record that the backend server sends nothing more on a flow.
+
+        The flow stays open until the caller has ended its side.
+        """
+        self.clear_outstanding(flow)
+        flow.server_ended = True
+        flow.closed = flow.closed or flow.caller_ended
+
+    def end_caller_side(self, flow: Flow) -> None:
+        """Record that the caller sends nothing more on a flow."""
+        flow.caller_ended = True
+        flow.closed = flow.closed or flow.server_ended
+
     def remove(self, key: bytes) -> None:
         """Remove a flow from the table and from the load."""
         flow = self.flows.pop(key, None)
@@ -399,6 +422,10 @@
         """Return the flows that are not closed."""
         return [flow for flow in self.flows.values() if not flow.closed]
 
+    def list_active(self) -> list[Flow]:
+        """Return the flows that the backend server may still answer requests on."""
+        return [flow for flow in self.flows.values() if flow.takes_requests]
+
     def expire_flows(self, now: float, idle_timeout_s: float) -> None:
         """Remove flows that were closed, never opened or were idle for too long."""
         for flow in list(self.flows.values()):
--- a/src/lentilfork/forwarding/processes.py
+++ b/src/lentilfork/forwarding/processes.py
@@ -458,7 +458,7 @@
         self.agent.leave(started_at)
         deadline = started_at + self.settings.grace_s - STOP_MARGIN_S
         await asyncio.sleep(min(LEAVE_NOTICE_S, deadline - started_at))
-        while self.agent.flows.list_open() and time.monotonic() < deadline:
+        while self.agent.flows.list_active() and time.monotonic() < deadline:
             await asyncio.sleep(POLL_INTERVAL_S)
 
     async def stop(self) -> None:
--- a/src/lentilfork/forwarding/syn_guard.py
+++ b/src/lentilfork/forwarding/syn_guard.py
@@ -68,7 +68,7 @@
         """
         if (
             flow is not None
-            and not flow.closed
+            and flow.takes_requests
             and now - flow.offered_at <= OPENING_TIMEOUT_S
         ):
             return None if self.limit.admits_copy(now) else Obstacle.WARM_UP_COPY
