--- a/src/lentilfork/forwarding/agent.py
+++ b/src/lentilfork/forwarding/agent.py
@@ -173,6 +173,7 @@
         self, kind: Kind, data: bytes, sender: SocketName, now: float
     ) -> None:
         """Handle a datagram of a balancer or of another agent."""
+        self.owner.delays.record_step(now)
         match kind:
             case Kind.ROUTE | Kind.DELIVER | Kind.SEARCH_BACK:
                 self.handle_envelope(kind, data, sender, now)
@@ -324,6 +325,7 @@
 
     def tick(self, now: float) -> float:
         """Run the timers that are due; return after how many seconds to call again."""
+        self.owner.delays.record_step(now)
         self.forward_buffered(now)
         self.owner.retry_offers(now)
         self.flows.expire_awaited_requests(now)
@@ -345,6 +347,7 @@
 
     def handle_server_packet(self, data: bytes, now: float) -> None:
         """Handle a packet of the backend server."""
+        self.owner.delays.record_step(now)
         self.delivery.handle_server_packet(data, now)
         self.report_load_if_due(now)
 
