tests: start a new host of a fleet in one place

The new test of planned stops repeated what replacing a host does. No behaviour changes; 104 tests of test_planned_stops.py and test_tolerance.py pass.

--- a/tests/agreement/fleet.py
+++ b/tests/agreement/fleet.py
@@ -104,12 +104,16 @@
         running = sorted(self.replicas)
         self.seeds = self.rng.sample(running, min(SEEDS, len(running)))
         self.run(delay_s)
-        successor = f"c{len(self.names):02}"
-        self.names.append(successor)
-        self.addresses[successor] = self.make_address(successor)
-        self.disks[successor] = Disk(self.rng)
-        self.start(successor)
-        return successor
+        return self.add_host()
+
+    def add_host(self) -> str:
+        """Start an empty controller on a new host; return its name."""
+        name = f"c{len(self.names):02}"
+        self.names.append(name)
+        self.addresses[name] = self.make_address(name)
+        self.disks[name] = Disk(self.rng)
+        self.start(name)
+        return name
 
     def acknowledge(self, name: str, limit_s: float = 6.0) -> None:
         """Change the state at one controller; fails if that takes too long."""
--- a/tests/agreement/test_planned_stops.py
+++ b/tests/agreement/test_planned_stops.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from tests.agreement.fakes import Disk
 from tests.agreement.fleet import Fleet
 
 CATCH_UP_S = 6.0
@@ -16,16 +15,6 @@
 LAYOUTS = [(3, 1, 1), (3, 1, 2), (5, 2, 1), (6, 2, 1), (6, 2, 2), (8, 2, 3)]
 
 
-def add_host(fleet: Fleet) -> str:
-    """Start an empty controller on a new host."""
-    name = f"c{len(fleet.names):02}"
-    fleet.names.append(name)
-    fleet.addresses[name] = fleet.make_address(name)
-    fleet.disks[name] = Disk(fleet.rng)
-    fleet.start(name)
-    return name
-
-
 def order_stops(fleet: Fleet, names: list[str]) -> dict[str, "asyncio.Task[None]"]:
     """Order controllers to stop; return the tasks in which they leave."""
     return {
@@ -64,7 +53,7 @@
     ordered = [leader, *others] if leader_lost else [*others, leader]
     lost, old = ordered[:tolerated], ordered[-replaced:]
     for _ in old:
-        add_host(fleet)
+        fleet.add_host()
     fleet.run(CATCH_UP_S)
     assert len(fleet.list_voters()) == disks + replaced
     survivor = next(name for name in fleet.names if name not in {*lost, *old})
--- a/tests/agreement/test_tolerance.py
+++ b/tests/agreement/test_tolerance.py
@@ -6,7 +6,6 @@
 import pytest
 
 from tests.agreement.cluster import make_change
-from tests.agreement.fakes import Disk
 from tests.agreement.fleet import Fleet
 
 # Controllers with a disk, without one, and losses that are borne at once.
@@ -79,11 +78,8 @@
     fleet = Fleet(6, 0, 2, seed=3)
     leader = fleet.get_leader().core.name
     fleet.seeds = [name for name in fleet.names if name != leader][:3]
-    fleet.names.append("c06")
-    fleet.addresses["c06"] = fleet.make_address("c06")
-    fleet.disks["c06"] = Disk(fleet.rng)
-    fleet.start("c06")
-    fleet.run_until(lambda: "c06" in fleet.list_voters(), 2.0)
+    added = fleet.add_host()
+    fleet.run_until(lambda: added in fleet.list_voters(), 2.0)
     fleet.close()
 
 
