--- a/src/lentilfork/forwarding/agent.py
+++ b/src/lentilfork/forwarding/agent.py
@@ -32,7 +32,6 @@
 from lentilfork.forwarding.packets import PacketCodec
 from lentilfork.forwarding.packets import hash_name
 from lentilfork.forwarding.packets import make_caller_key
-from lentilfork.forwarding.read_delays import ReadDelays
 from lentilfork.forwarding.roster import AgentRecord
 from lentilfork.forwarding.roster import Roster
 from lentilfork.forwarding.routes import RouteIndex
@@ -84,8 +83,6 @@
     # Shortest target of the routes to this service, 0 without any.
     shortest_target_s: float
     last_expiry_at: float
-    # Whether SYNs may have waited for long before this process read them.
-    delays: ReadDelays
     # Sends a datagram to another process.
     send: Callable[[bytes, SocketName], None]
     # Notifies controllers of a changed record.
@@ -152,7 +149,6 @@
         )
         self.owner.deliver = self.delivery.deliver
         self.last_expiry_at = float("-inf")
-        self.delays = ReadDelays()
 
     def connect(
         self,
@@ -177,7 +173,7 @@
         self, kind: Kind, data: bytes, sender: SocketName, now: float
     ) -> None:
         """Handle a datagram of a balancer or of another agent."""
-        self.delays.record_step(now)
+        self.owner.delays.record_step(now)
         match kind:
             case Kind.ROUTE | Kind.DELIVER | Kind.SEARCH_BACK:
                 self.handle_envelope(kind, data, sender, now)
@@ -204,10 +200,6 @@
         if envelope is None or packet is None:
             self.counters.add("datagrams_dropped", "malformed")
             return
-        if packet.is_opening and self.delays.is_late:
-            # The caller's copy of the SYN may have opened the flow at another agent.
-            self.counters.add("syns_late")
-            envelope.repeated = True
         if packet.is_opening and not self.guard.evacuations.is_settled(now):
             self.buffer.add(make_caller_key(packet), kind, envelope, now)
             return
@@ -333,7 +325,7 @@
 
     def tick(self, now: float) -> float:
         """Run the timers that are due; return after how many seconds to call again."""
-        self.delays.record_step(now)
+        self.owner.delays.record_step(now)
         self.forward_buffered(now)
         self.owner.retry_offers(now)
         self.flows.expire_awaited_requests(now)
@@ -355,7 +347,7 @@
 
     def handle_server_packet(self, data: bytes, now: float) -> None:
         """Handle a packet of the backend server."""
-        self.delays.record_step(now)
+        self.owner.delays.record_step(now)
         self.delivery.handle_server_packet(data, now)
         self.report_load_if_due(now)
 
--- a/src/lentilfork/forwarding/delivery.py
+++ b/src/lentilfork/forwarding/delivery.py
@@ -189,7 +189,7 @@
             self.counters.add("packets_dropped", "not_synced")
             return
         placed = self.owner.place_elsewhere(envelope, packet, now, obstacle)
-        if not placed and packet.acknowledgement == 0 and not envelope.repeated:
+        if not placed and self.owner.may_reset(envelope, packet):
             self.notify_refused(envelope, make_caller_key(packet), now)
 
     def confirm_placement(
@@ -209,8 +209,7 @@
             return True
         placed = self.owner.place_or_refuse(envelope, packet, local_choice, now)
         # Other SYNs are dropped, not refused, as they may have opened a flow elsewhere.
-        is_only_syn = packet.acknowledgement == 0 and not envelope.repeated
-        if not placed and is_only_syn:
+        if not placed and self.owner.may_reset(envelope, packet):
             self.notify_refused(envelope, make_caller_key(packet), now)
         return False
 
--- a/src/lentilfork/forwarding/ownership.py
+++ b/src/lentilfork/forwarding/ownership.py
@@ -35,6 +35,7 @@
 from lentilfork.forwarding.packets import make_caller_key
 from lentilfork.forwarding.placement import Choice
 from lentilfork.forwarding.placement import choose_agent
+from lentilfork.forwarding.read_delays import ReadDelays
 from lentilfork.forwarding.roster import AgentRecord
 from lentilfork.forwarding.roster import Roster
 from lentilfork.scheduling import EvacuationView
@@ -104,6 +105,8 @@
     counters: Counters
     decisions: DecisionLog
     evacuations: EvacuationView
+    # Whether packets may have waited for long before this process read them.
+    delays: ReadDelays
     send: Callable[[bytes, SocketName], None]
     send_to_caller: Callable[[bytes, int], None]
     # Passes an envelope to the `FlowDelivery` of this agent.
@@ -140,6 +143,7 @@
         self.counters = counters
         self.decisions = decisions
         self.evacuations = evacuations
+        self.delays = ReadDelays()
 
     def route(self, envelope: Envelope, packet: FlowPacket, now: float) -> None:
         """Forward a packet to the agent that serves its flow; place a new flow."""
@@ -303,15 +307,28 @@
         )
         self.forward_to_agent(choice.agent, envelope, packet, now)
 
+    def may_reset(self, envelope: Envelope, packet: FlowPacket) -> bool:
+        """Return whether a SYN is the only one of its flow that may have opened it.
+
+        Another agent may have got a copy of it, also while this one waited for as long
+        as a caller does before it sends one.
+        """
+        is_first = packet.acknowledgement == 0 and not self.delays.is_late
+        return is_first and not envelope.repeated
+
     def refuse(self, packet: FlowPacket, reason: str, **inputs: object) -> None:
         """Reset a new flow, so that its caller need not wait for a timeout.
 
         A retransmitted SYN is dropped instead: an earlier one may have opened the flow.
+        So is a late one, as its copy may have done so.
         """
         key = make_caller_key(packet)
         if packet.acknowledgement > 0:
             self.counters.add("packets_dropped", "copy_not_placed")
             return
+        if self.delays.is_late:
+            self.counters.add("packets_dropped", "late_syn")
+            return
         self.counters.add("flows_refused", reason)
         self.decisions.write("refused", key, reason, **inputs)
         self.send_to_caller(self.codec.make_reset(packet), packet.source)
@@ -327,7 +344,7 @@
         if envelope.repeated:
             self.counters.add("packets_dropped", "repeated_offer")
             return
-        if packet.acknowledgement == 0:
+        if self.may_reset(envelope, packet):
             self.count_refusal(envelope)
         self.refuse(packet, reason, **inputs)
 
--- a/src/lentilfork/forwarding/read_delays.py
+++ b/src/lentilfork/forwarding/read_delays.py
@@ -1,8 +1,8 @@
 """Whether the packets that a process reads may have waited for long.
 
-A process that gets too little time reads packets late. A caller sends a copy of its
-SYN after 200 ms, which may open the flow at another agent, so a late SYN is handled
-like one that was offered elsewhere, too. Longer pauses: `sockets.PauseDetector`.
+A process that gets too little time reads packets late. A caller sends a copy of its SYN
+after 200 ms, which another agent may get, so a late SYN must not be answered as if it
+were the only one. Longer pauses are found by `sockets.PauseDetector`.
 """
 
 from typing import Final
@@ -12,6 +12,8 @@
 # Time between two steps of a process from which on the packets that arrived meanwhile
 # count as late: shorter than the time until a caller's copy, with some margin.
 LATE_GAP_S: Final = 0.15
+# Time within which a process reads what has arrived during such a gap.
+BACKLOG_S: Final = 0.1
 
 
 class ReadDelays:
@@ -28,12 +30,8 @@
         self.is_late = False
 
     def record_step(self, now: float) -> None:
-        """Record that the process has run a timer or read a packet.
-
-        What has arrived during a gap may take as long to read.
-        """
-        gap_s = now - self.stepped_at
-        if gap_s > LATE_GAP_S:
-            self.late_until = now + gap_s
+        """Record that the process has run a timer or read a packet."""
+        if now - self.stepped_at > LATE_GAP_S:
+            self.late_until = now + BACKLOG_S
         self.stepped_at = now
         self.is_late = now < self.late_until
