--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""Case 12: a server that starts again has flows reset which are open at another server."""
+"""Case 12: a restarted server has flows reset that are open at another server."""
 
 import asyncio
 import sys
@@ -27,7 +27,7 @@
 DEADLINE_S = 1.0
 DOWN_S = 4.0
 WORK_S = 0.1
-# Largest distance of a reset's number from the client's last acknowledgement (PROTOCOL).
+# Largest distance of a reset from the client's last acknowledgement (PROTOCOL).
 RESET_DISTANCE = 76_800
 
 
@@ -37,7 +37,9 @@
     edges = fleet.add_edges()
     for index in range(ENDPOINTS):
         zone = ZONES[index % len(ZONES)]
-        fleet.add_side(f"side-{zone}-{1 + index // len(ZONES)}", zone, 20 + index, SERVICE)
+        fleet.add_side(
+            f"side-{zone}-{1 + index // len(ZONES)}", zone, 20 + index, SERVICE
+        )
     fleet.routes[ROUTE] = {"service": SERVICE}
     for machine in edges:
         await machine.start("controller")
@@ -118,9 +120,7 @@
     await endpoint.start()
 
 
-async def use_port(
-    client: Client, flow: ClientFlow, until: float
-) -> ClientFlow | None:
+async def use_port(client: Client, flow: ClientFlow, until: float) -> ClientFlow | None:
     """Give up on a flow at the deadline, and use its port for the next one."""
     await flow.request(f"/given-up-{flow.port}", DEADLINE_S)
     await asyncio.sleep(0.2)
--- a/review/common-3/stand.py
+++ b/review/common-3/stand.py
@@ -184,7 +184,9 @@
 class Machine:
     """One machine: its address, settings and programs."""
 
-    def __init__(self, fleet: "Fleet", name: str, kind: str, zone: str, ip: str) -> None:
+    def __init__(
+        self, fleet: "Fleet", name: str, kind: str, zone: str, ip: str
+    ) -> None:
         self.fleet = fleet
         self.name = name
         self.kind = kind
@@ -245,7 +247,9 @@
         path.write_text(self.settings(role))
         log = fleet.open_log(self, role)
         environment = {
-            name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
+            name: os.environ[name]
+            for name in ("PATH", "HOME", "LANG")
+            if name in os.environ
         }
         environment["PYTHONPATH"] = str(ROOT / "target/deps")
         environment["PYTHONDONTWRITEBYTECODE"] = "1"
@@ -655,7 +659,10 @@
     def pump(self, flow: ServerFlow) -> None:
         """Send what the window of 16 packets allows."""
         while flow.waiting and len(flow.unacknowledged) < WINDOW:
-            data, flow.waiting = flow.waiting[:MAXIMUM_DATA], flow.waiting[MAXIMUM_DATA:]
+            data, flow.waiting = (
+                flow.waiting[:MAXIMUM_DATA],
+                flow.waiting[MAXIMUM_DATA:],
+            )
             packet = encode(
                 flow.route, flow.client, ACK, flow.sent, flow.received, data
             )
@@ -786,7 +793,9 @@
                 self.received = (self.received + 1) % MODULUS
                 self.server_ended = True
             full = in_order and len(packet.data) == MAXIMUM_DATA
-            if packet.flags & FIN or packet.data and not (full and self.unconfirmed < 2):
+            if packet.flags & FIN or (
+                packet.data and not (full and self.unconfirmed < 2)
+            ):
                 self.unconfirmed = 0
                 self.send(ACK, self.sent, self.received)
             if full and not self.has_answer():
@@ -835,7 +844,9 @@
     async def request(self, path: str, timeout_s: float = 1.0) -> bytes | None:
         """Send a request; return the answer, None without one in time."""
         assert self.received is not None
-        data = f"GET {path} HTTP/1.1\r\nHost: h\r\nAttempt-Id: {path[1:]}\r\n\r\n".encode()
+        data = (
+            f"GET {path} HTTP/1.1\r\nHost: h\r\nAttempt-Id: {path[1:]}\r\n\r\n".encode()
+        )
         deadline = time.monotonic() + timeout_s
         wait_s = RETRANSMISSION_S
         self.buffer = bytearray()
@@ -848,7 +859,9 @@
             else:
                 self.send(ACK, (self.sent + len(data)) % MODULUS, self.received)
             until = min(time.monotonic() + wait_s, deadline)
-            if await self.wait(until, lambda: self.has_answer() or self.reset_at is not None):
+            if await self.wait(
+                until, lambda: self.has_answer() or self.reset_at is not None
+            ):
                 break
             wait_s = min(2 * wait_s, MAXIMUM_WAIT_S)
         self.sent = (self.sent + len(data)) % MODULUS
@@ -881,7 +894,7 @@
     async def run() -> int:
         fleet = Fleet(record, temporary)
         try:
-            async with asyncio.timeout(float(os.environ.get("CASE_LIMIT", 110))):
+            async with asyncio.timeout(float(os.environ.get("CASE_LIMIT", "110"))):
                 broken = await play(fleet)  # type: ignore[misc]
         except Exception as error:
             # Also a fault of this script says nothing about the rule.
