--- a/review/common-3/stand.py
+++ b/review/common-3/stand.py
@@ -120,6 +120,8 @@
         self.target = (socket.inet_ntoa(dst.to_bytes(4, "big")), dport)
         self.data = raw[HEADER.size :]
         self.raw = raw
+        # Address of the machine that it came from, where that is recorded.
+        self.sender = ""
 
     def describe(self) -> str:
         """Return the flags and numbers as text."""
@@ -131,16 +133,16 @@
 class Datagrams(asyncio.DatagramProtocol):
     """Passes datagrams to a function."""
 
-    def __init__(self, handle: Callable[[bytes], None]) -> None:
+    def __init__(self, handle: Callable[[bytes, str], None]) -> None:
         self.handle = handle
 
-    def datagram_received(self, data: bytes, _sender: tuple[str, int]) -> None:
-        """Handle one datagram."""
-        self.handle(data)
+    def datagram_received(self, data: bytes, sender: tuple[str, int]) -> None:
+        """Handle one datagram with the address of its sender."""
+        self.handle(data, sender[0])
 
 
 async def open_udp(
-    address: tuple[str, int], handle: Callable[[bytes], None]
+    address: tuple[str, int], handle: Callable[[bytes, str], None]
 ) -> asyncio.DatagramTransport:
     """Bind a UDP socket."""
     loop = asyncio.get_running_loop()
@@ -442,6 +444,7 @@
         self.number = number
         self.sent = (number + 1) % MODULUS
         self.open = False
+        self.opened_at = float("inf")
         self.client_ended = False
         self.ended = False
         # Packets that the client has not acknowledged: end number and packet.
@@ -457,7 +460,8 @@
 class Endpoint:
     """A backend server: accepts flows, answers requests and sends heartbeats.
 
-    It never bounces a SYN; a packet of a flow that it does not hold is bounced.
+    It bounces a SYN while as many requests as it queues wait beside those in its slots,
+    and any packet of a flow that it does not hold.
     """
 
     def __init__(self, fleet: Fleet, machine: Machine, service: str) -> None:
@@ -480,6 +484,10 @@
         self.tasks: list[asyncio.Task[None]] = []
         self.heartbeats = True
         self.work_s = 0.015
+        self.slots = 2
+        self.queue = 8
+        self.running = 0
+        self.waiting: list[tuple[ServerFlow, str]] = []
 
     @property
     def name(self) -> str:
@@ -574,7 +582,7 @@
         if not self.transport.is_closing():
             self.transport.sendto(data, (self.machine.ip, self.fleet.outbound_port))
 
-    def handle(self, data: bytes) -> None:
+    def handle(self, data: bytes, _sender: str) -> None:
         """Handle a packet of a client."""
         packet = Packet(data)
         self.packets.append((time.monotonic(), packet))
@@ -586,11 +594,15 @@
             if flow is not None:
                 del self.flows[key]
             elif not packet.flags & RST:
-                flags = packet.flags | BOUNCED
-                self.send(data[:28] + bytes((flags,)) + data[29:])
+                self.bounce(packet)
         else:
             self.handle_subsequent(flow, packet)
 
+    def bounce(self, packet: Packet) -> None:
+        """Return a packet to the node on this machine."""
+        flags = bytes((packet.flags | BOUNCED,))
+        self.send(packet.raw[:28] + flags + packet.raw[29:])
+
     def handle_syn(
         self,
         key: tuple[str, int, str, int],
@@ -599,6 +611,9 @@
     ) -> None:
         """Answer a SYN; one with another number begins another flow."""
         if flow is None or flow.syn_seq != packet.seq:
+            if len(self.waiting) >= self.queue:
+                self.bounce(packet)
+                return
             flow = ServerFlow(packet, random.getrandbits(32))
             self.flows[key] = flow
             self.taken.append((time.monotonic(), packet.source, packet.target))
@@ -616,6 +631,7 @@
             if packet.ack != (flow.number + 1) % MODULUS:
                 return
             flow.open = True
+            flow.opened_at = time.monotonic()
         for end in list(flow.unacknowledged):
             if (packet.ack - end) % MODULUS < MODULUS // 2:
                 del flow.unacknowledged[end]
@@ -626,8 +642,8 @@
             flow.received = (flow.received + len(packet.data)) % MODULUS
             flow.requests += 1
             text = packet.data.decode(errors="replace")
-            loop = asyncio.get_running_loop()
-            loop.call_later(self.work_s, self.answer, flow, text)
+            self.waiting.append((flow, text))
+            self.run_next()
             self.ran.append((time.monotonic(), text.split("\r\n", 1)[0]))
             self.fleet.record.write(
                 f"endpoint {self.id} on {self.name} ({self.state}) runs "
@@ -642,8 +658,17 @@
         if packet.data or packet.flags & FIN:
             self.send(encode(flow.route, flow.client, ACK, flow.sent, flow.received))
 
+    def run_next(self) -> None:
+        """Begin to work on the next request if a slot is free."""
+        if self.running < self.slots and self.waiting:
+            self.running += 1
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.work_s, self.answer, *self.waiting.pop(0))
+
     def answer(self, flow: ServerFlow, text: str) -> None:
         """Answer a request; a draining endpoint closes the flow after it."""
+        self.running -= 1
+        self.run_next()
         path = text.split(" ", 2)[1] if " " in text else "?"
         body = f"{path} {self.id} ".encode()
         if path.startswith("/bytes-"):
@@ -713,9 +738,10 @@
         address = self.ip, self.fleet.datagram_port
         self.transport = await open_udp(address, self.handle)
 
-    def handle(self, data: bytes) -> None:
+    def handle(self, data: bytes, sender: str) -> None:
         """Pass a packet to its flow."""
         packet = Packet(data)
+        packet.sender = sender
         flow = self.flows.get((packet.target[1], *packet.source))
         if flow is not None:
             flow.handle(packet)
