--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""Case 12: a restarted server has flows reset that are open at another server."""
+"""Case 12: a client that opens its next flow from the port that it had before."""
 
 import asyncio
 import sys
@@ -9,12 +9,13 @@
 sys.path.insert(0, str(FOLDER.parent / "common-3"))
 
 from stand import BOUNDS  # noqa: E402
-from stand import MODULUS  # noqa: E402
 from stand import ZONES  # noqa: E402
 from stand import Client  # noqa: E402
 from stand import ClientFlow  # noqa: E402
+from stand import Endpoint  # noqa: E402
 from stand import Fleet  # noqa: E402
 from stand import UnusableError  # noqa: E402
+from stand import call_http  # noqa: E402
 from stand import has_trouble  # noqa: E402
 from stand import run_case  # noqa: E402
 
@@ -24,15 +25,14 @@
 ENDPOINTS = 7
 FLOWS = 21
 FIRST_PORT = 40_001
-DEADLINE_S = 1.0
-DOWN_S = 4.0
+# "It continues serving for drain_ms after the acknowledgement and a little longer."
+SERVES_LONGER_S = 1.5
 WORK_S = 0.1
-# Largest distance of a reset from the client's last acknowledgement (PROTOCOL).
-RESET_DISTANCE = 76_800
+MAXIMUM_REQUESTS = 40
 
 
 async def play(fleet: Fleet) -> bool:
-    """Return whether an open flow was reset though its endpoint lives."""
+    """Return whether an opening packet reached the endpoint after `drain_ms`."""
     record = fleet.record
     edges = fleet.add_edges()
     for index in range(ENDPOINTS):
@@ -47,7 +47,6 @@
     for endpoint in fleet.endpoints.values():
         await endpoint.start()
         await endpoint.machine.start("agent")
-        endpoint.work_s = WORK_S
     await fleet.put_configuration()
     await fleet.wait_ready(list(fleet.machines))
     # All machines are in touch from here on.
@@ -64,77 +63,94 @@
             raise UnusableError("a flow did not open before the disruption")
         flows.append(flow)
 
-    def find_holder(flow: ClientFlow) -> str:
-        key = (client.ip, flow.port, *ROUTE)
+    def find_holder(port: int) -> str:
         return next(
-            (
-                name
-                for name, endpoint in fleet.endpoints.items()
-                if key in endpoint.flows
-                and endpoint.flows[key].number == flow.server_first
-            ),
-            "",
+            name
+            for name, endpoint in fleet.endpoints.items()
+            for (_, flow_port, *_), flow in endpoint.flows.items()
+            if flow_port == port and flow.open
         )
 
-    held = [find_holder(flow) for flow in flows]
-    crashed = fleet.endpoints[max(sorted(set(held)), key=held.count)]
-    chosen = [f for f, name in zip(flows, held, strict=True) if name == crashed.name]
-    record.write(f"{crashed.name} holds the flows of {[f.port for f in chosen]}")
-    ends_at = time.monotonic() + DOWN_S + 3.0
-    restart = asyncio.create_task(crash_and_restart(fleet, crashed.name))
-    await asyncio.sleep(0.1)
-    news = await asyncio.gather(*(use_port(client, flow, ends_at) for flow in chosen))
-    await restart
-    broken = 0
-    for flow in filter(None, news):
-        if flow.reset is None:
-            continue
-        holder = find_holder(flow)
-        if holder in {"", crashed.name} and has_trouble():
-            continue
-        broken += 1
-        distance = min(
-            (flow.reset.seq - flow.received) % MODULUS,
-            (flow.received - flow.reset.seq) % MODULUS,
-        )
-        record.write(
-            f"the flow of port {flow.port} is open at {holder}, which lives, and was "
-            f"reset; the reset's seq is {distance} from the client's last ack "
-            f"(allowed: {RESET_DISTANCE})"
+    held = [find_holder(flow.port) for flow in flows]
+    leaver = fleet.endpoints[max(sorted(set(held)), key=held.count)]
+    chosen = [f for f, name in zip(flows, held, strict=True) if name == leaver.name]
+    record.write(f"{leaver.name} holds the flows of {[f.port for f in chosen]}")
+    if has_trouble():
+        await leaver.drain()
+    else:
+        leaver.acknowledged_at["draining"] = float("inf")
+    await asyncio.sleep(BOUNDS["drain_ms"] / 1000 + 0.5)
+    limit = leaver.acknowledged_at["draining"] + BOUNDS["drain_ms"] / 1000
+    leaver.work_s = WORK_S
+    closes = asyncio.create_task(close_after_answers(leaver, has_trouble()))
+    leaves_at = time.monotonic() + SERVES_LONGER_S
+    outcomes = await asyncio.gather(
+        *(use_port_again(client, flow, leaves_at + 1.0) for flow in chosen),
+        leave(leaver, leaves_at),
+    )
+    closes.cancel()
+    unanswered = [path for paths in outcomes if paths for path in paths]
+    # New flows from ports that were not used before, for comparison.
+    for number in range(FLOWS):
+        balancer = edges[number % len(edges)]
+        other = ClientFlow(
+            client, FIRST_PORT + 100 + number, ROUTE, lambda b=balancer: b
         )
-    record.write(f"{broken} of {len(chosen)} flows were reset")
+        if await other.open():
+            await other.request(f"/d{number}")
+    late = [item for item in leaver.taken if item[0] > limit]
+    ran = {line.split()[1] for _, line in leaver.ran}
+    lost = sorted(ran.intersection(unanswered))
+    used = {flow.port for flow in chosen}
+    reused = sum(source[1] in used for _, source, _ in late)
+    record.write(
+        f"after drain_ms {leaver.name} took {len(late)} opening packets: {reused} from "
+        f"{len(chosen)} ports used before, {len(late) - reused} from {FLOWS} others"
+    )
+    record.write(f"requests that ran there and were never answered: {lost}")
     client.close()
-    return broken > 0
+    return bool(late)
 
 
-async def crash_and_restart(fleet: Fleet, name: str) -> None:
-    """Let an endpoint crash: it discards its flows, and starts again under its id."""
+async def close_after_answers(endpoint: Endpoint, trouble: bool) -> None:
+    """Without the disruption, close flows after an answer as a draining endpoint."""
+    while not trouble:
+        for flow in endpoint.flows.values():
+            if flow.requests and flow.unacknowledged:
+                endpoint.finish(flow)
+        await asyncio.sleep(0.01)
+
+
+async def leave(endpoint: Endpoint, at: float) -> None:
+    """Let a draining endpoint leave: it sends its leave, exits, and its node stops."""
+    await asyncio.sleep(at - time.monotonic())
     if not has_trouble():
         return
-    endpoint = fleet.endpoints[name]
+    control = endpoint.machine.ip, endpoint.fleet.control_port
+    await call_http(control, "DELETE", f"/v1/instances/{endpoint.id}")
     await endpoint.close()
-    endpoint.flows.clear()
-    fleet.record.write(f"endpoint {endpoint.id} on {name} crashed")
-    await asyncio.sleep(DOWN_S)
-    endpoint.sequence = 0
-    await endpoint.start()
-
-
-async def use_port(client: Client, flow: ClientFlow, until: float) -> ClientFlow | None:
-    """Give up on a flow at the deadline, and use its port for the next one."""
-    await flow.request(f"/given-up-{flow.port}", DEADLINE_S)
-    await asyncio.sleep(0.2)
-    again = ClientFlow(client, flow.port, ROUTE, flow.choose_balancer)
-    if not await again.open():
-        return None
-    for number in range(200):
-        if time.monotonic() >= until:
-            break
+    endpoint.fleet.record.write(f"endpoint {endpoint.id} has left and ended")
+    await endpoint.machine.stop("agent")
+
+
+async def use_port_again(client: Client, flow: ClientFlow, until: float) -> list[str]:
+    """Send requests until a time, a flow each after the first; return the unanswered.
+
+    The endpoint closes each flow after its answer, so the client may open the next one
+    from the same port at once.
+    """
+    unanswered = []
+    for number in range(MAXIMUM_REQUESTS):
         path = f"/port-{flow.port}-{number}"
-        if await again.request(path, 3.0) is None:
+        if flow.received is not None and await flow.request(path, 1.0) is None:
+            unanswered.append(path)
+        if time.monotonic() >= until:
             break
-        await asyncio.sleep(0.02)
-    return again
+        if await flow.wait(time.monotonic() + 0.5, lambda f=flow: f.server_ended):
+            await flow.close()
+        flow = ClientFlow(client, flow.port, ROUTE, flow.choose_balancer)
+        await flow.open()
+    return unanswered
 
 
 if __name__ == "__main__":
