--- a/review/common-3/stand.py
+++ b/review/common-3/stand.py
@@ -14,6 +14,7 @@
 import socket
 import struct
 import sys
+import tempfile
 import time
 import tomllib
 from collections.abc import Callable
@@ -912,8 +913,7 @@
     """Run a case; return 0 if the rule held, 1 if it was broken, 2 if unusable."""
     record = Record(folder)
     temporary = Path(
-        os.environ.get("CASE_FOLDER")
-        or f"{os.environ.get('TMPDIR', '/tmp')}/lentilfork-case-{os.getpid()}"
+        os.environ.get("CASE_FOLDER") or tempfile.mkdtemp(prefix="lentilfork-case-")
     )
     temporary.mkdir(parents=True, exist_ok=True)
 
